--- /dev/null
+++ b/internal/call/forwarder/hedge.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"time"
+
+	"clementinerock/internal/call/picker"
+
+	"github.com/valyala/fasthttp"
+)
+
+// racer is one of several attempts of an idempotent call. It owns its request and
+// response until it ends, so that a late answer can reach nobody else.
+type racer struct {
+	request  *fasthttp.Request
+	response *fasthttp.Response
+	result   Result
+}
+
+func (r *racer) release() {
+	fasthttp.ReleaseRequest(r.request)
+	fasthttp.ReleaseResponse(r.response)
+}
+
+// raceAttempts sends the call to a target and, if no answer came within the usual
+// time, to a second one. The first answer wins.
+func (c *call) raceAttempts(request *fasthttp.Request, response *fasthttp.Response, target *picker.Target) Result {
+	finished := make(chan *racer, 2)
+	c.race(request, target, finished)
+	running := 1
+	timer := time.NewTimer(c.state.delay.Hedge())
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			if second := c.pickHedge(); second != nil {
+				c.race(request, second, finished)
+				running++
+			}
+		case r := <-finished:
+			running--
+			result := r.result
+			if result.Outcome == Answered || running == 0 {
+				r.response.CopyTo(response)
+				r.release()
+				c.abandon(finished, running)
+				return result
+			}
+			r.release()
+		}
+	}
+}
+
+func (c *call) pickHedge() *picker.Target {
+	if len(c.tried) >= len(c.targets) || !c.state.hedges.Withdraw() {
+		return nil
+	}
+	c.front.Counter.Count("front_hedge")
+	return c.pick()
+}
+
+func (c *call) race(request *fasthttp.Request, target *picker.Target, finished chan<- *racer) {
+	r := &racer{request: fasthttp.AcquireRequest(), response: fasthttp.AcquireResponse()}
+	request.CopyTo(r.request)
+	shadow := *c // the attempt's own number stays as it is now
+	go func() {
+		r.result = shadow.attempt(r.request, r.response, target)
+		finished <- r
+	}()
+}
+
+// abandon releases attempts that are still running when they end.
+func (c *call) abandon(finished <-chan *racer, running int) {
+	if running == 0 {
+		return
+	}
+	go func() {
+		for range running {
+			(<-finished).release()
+		}
+	}()
+}
--- /dev/null
+++ b/internal/call/limiter/unlimited.go
@@ -0,0 +1,24 @@
+package limiter
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Unlimited admits every call and leaves the queueing to the target.
+type Unlimited struct {
+	slots int
+	inUse atomic.Int64
+}
+
+// Acquire always admits.
+func (u *Unlimited) Acquire(Class, time.Time) Verdict {
+	u.inUse.Add(1)
+	return Verdict{Admitted: true}
+}
+
+// Release ends a call.
+func (u *Unlimited) Release(Class, time.Duration) { u.inUse.Add(-1) }
+
+// Load returns the calls open as a share of the slots.
+func (u *Unlimited) Load() float64 { return float64(u.inUse.Load()) / float64(max(u.slots, 1)) }
--- /dev/null
+++ b/internal/call/picker/picker.go
@@ -0,0 +1,243 @@
+// Package picker chooses the target of a call from what this node measured and
+// what answers reported.
+package picker
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Target is one upstream as the callers' side sees it.
+type Target struct {
+	*Stats
+
+	Service string
+	Node    string // machine beside it
+	Zone    string
+	Peer    string // address of that machine for calls from nodes
+	Listen  string // address of the target itself
+	Local   bool   // beside this node
+	Near    bool   // in this node's zone
+	Slots   int
+	Warming bool
+	Since   time.Time // start of warming or serving
+}
+
+const (
+	latencyWeight  = 0.1                    // of a new sample in the moving average
+	peakDecay      = 2 * time.Second        // after which a slow answer no longer counts
+	loadAge        = 250 * time.Millisecond // half-life of a reported load
+	failureLimit   = 3                      // failures in a row before ejection
+	ejectTime      = time.Second            // first ejection; doubles with each further one
+	maxEjectTime   = 20 * time.Second
+	slowFactor     = 4.0 // times the median latency before a target counts as slow
+	minimumLatency = 200 * time.Microsecond
+)
+
+// Stats are the measurements of one target. All methods may be called from many
+// goroutines.
+type Stats struct {
+	inFlight atomic.Int64
+	latency  atomic.Uint64 // float64 bits of the moving average in seconds
+	sampled  atomic.Int64  // Unix nanoseconds of the last sample
+	load     atomic.Uint64 // float64 bits of the reported share of slots in use
+	reported atomic.Int64  // Unix nanoseconds of the report
+	failures atomic.Int32
+	ejected  atomic.Int64 // Unix nanoseconds until which it is set aside
+	trips    atomic.Int32 // ejections in a row
+}
+
+// Start records that a call was sent to the target.
+func (s *Stats) Start() { s.inFlight.Add(1) }
+
+// InFlight returns the calls that this node has open at the target.
+func (s *Stats) InFlight() int { return int(s.inFlight.Load()) }
+
+// Finish records an answer and its latency.
+func (s *Stats) Finish(now time.Time, latency time.Duration) {
+	s.inFlight.Add(-1)
+	s.failures.Store(0)
+	s.trips.Store(0)
+	s.observe(now, latency)
+}
+
+// Refuse records a refusal by the target's node.
+func (s *Stats) Refuse() { s.inFlight.Add(-1) }
+
+// Abandon records that a call ended without any answer after waiting for it.
+func (s *Stats) Abandon(now time.Time, waited time.Duration) {
+	s.inFlight.Add(-1)
+	s.observe(now, waited)
+}
+
+// Fail records a call that ended in a transport error. After several in a row the
+// target is set aside for a while.
+func (s *Stats) Fail(now time.Time) {
+	s.inFlight.Add(-1)
+	if s.failures.Add(1) < failureLimit {
+		return
+	}
+	s.failures.Store(0)
+	pause := min(ejectTime<<min(s.trips.Add(1)-1, 5), maxEjectTime)
+	s.ejected.Store(now.Add(pause).UnixNano())
+}
+
+// Ejected reports whether the target is set aside.
+func (s *Stats) Ejected(now time.Time) bool { return now.UnixNano() < s.ejected.Load() }
+
+func (s *Stats) observe(now time.Time, latency time.Duration) {
+	sample := latency.Seconds()
+	old := math.Float64frombits(s.latency.Load())
+	next := old + latencyWeight*(sample-old)
+	if old == 0 || sample > 2*old {
+		next = (old + sample) / 2
+	}
+	s.latency.Store(math.Float64bits(next))
+	s.sampled.Store(now.UnixNano())
+}
+
+// Latency returns the moving average. It decays while no call is sampled, so that
+// a target that was slow gets tried again.
+func (s *Stats) Latency(now time.Time) time.Duration {
+	average := math.Float64frombits(s.latency.Load())
+	idle := time.Duration(now.UnixNano() - s.sampled.Load())
+	if idle > 0 {
+		average *= math.Exp(-idle.Seconds() / peakDecay.Seconds())
+	}
+	return max(time.Duration(average*float64(time.Second)), minimumLatency)
+}
+
+// Report records the load that an answer carried.
+func (s *Stats) Report(now time.Time, load float64) {
+	s.load.Store(math.Float64bits(load))
+	s.reported.Store(now.UnixNano())
+}
+
+// Load returns the reported share of slots in use, discounted by its age.
+func (s *Stats) Load(now time.Time) float64 {
+	age := time.Duration(now.UnixNano() - s.reported.Load())
+	return math.Float64frombits(s.load.Load()) * math.Exp2(-age.Seconds()/loadAge.Seconds())
+}
+
+// Book keeps the statistics of targets across views.
+type Book struct {
+	mu    sync.Mutex
+	stats map[string]*Stats
+}
+
+// Stats returns the statistics kept under a key, new ones if there are none.
+func (b *Book) Stats(key string) *Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stats == nil {
+		b.stats = make(map[string]*Stats)
+	}
+	s := b.stats[key]
+	if s == nil {
+		s = &Stats{}
+		b.stats[key] = s
+	}
+	return s
+}
+
+// Keep drops the statistics of all other keys.
+func (b *Book) Keep(keys map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key := range b.stats {
+		if !keys[key] {
+			delete(b.stats, key)
+		}
+	}
+}
+
+// Policy chooses among targets, none of which is in skip. It returns nil if there
+// is none.
+type Policy interface {
+	Pick(targets []*Target, skip []*Target, now time.Time) *Target
+}
+
+// Policies by name, for settings.
+const (
+	PolicyBalanced   = "balanced"
+	PolicyRoundRobin = "round-robin"
+	PolicyRandom     = "random"
+	PolicyLeast      = "least-connections"
+)
+
+// New returns the policy of the given name, or nil.
+func New(name string) Policy {
+	switch name {
+	case PolicyBalanced, "":
+		return &Balanced{}
+	case PolicyRoundRobin:
+		return &RoundRobin{}
+	case PolicyRandom:
+		return Random{}
+	case PolicyLeast:
+		return Least{}
+	}
+	return nil
+}
+
+func skipped(t *Target, skip []*Target) bool {
+	for _, s := range skip {
+		if s.Stats == t.Stats {
+			return true
+		}
+	}
+	return false
+}
+
+// RoundRobin takes the targets in turn.
+type RoundRobin struct{ next atomic.Uint64 }
+
+// Pick returns the next target.
+func (p *RoundRobin) Pick(targets, skip []*Target, _ time.Time) *Target {
+	for range targets {
+		t := targets[int(p.next.Add(1)%uint64(len(targets)))]
+		if !skipped(t, skip) {
+			return t
+		}
+	}
+	return nil
+}
+
+// Random takes any target.
+type Random struct{}
+
+// Pick returns a random target.
+func (Random) Pick(targets, skip []*Target, _ time.Time) *Target {
+	if len(targets) == 0 {
+		return nil
+	}
+	start := rand.IntN(len(targets))
+	for i := range targets {
+		if t := targets[(start+i)%len(targets)]; !skipped(t, skip) {
+			return t
+		}
+	}
+	return nil
+}
+
+// Least takes the target with the fewest calls open from this node.
+type Least struct{}
+
+// Pick returns the target with the fewest open calls.
+func (Least) Pick(targets, skip []*Target, _ time.Time) *Target {
+	var best *Target
+	if len(targets) == 0 {
+		return nil
+	}
+	start := rand.IntN(len(targets))
+	for i := range targets {
+		t := targets[(start+i)%len(targets)]
+		if !skipped(t, skip) && (best == nil || t.InFlight() < best.InFlight()) {
+			best = t
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/call/retrier/retrier.go
@@ -0,0 +1,81 @@
+// Package retrier bounds repeated attempts: budgets for retries and hedges, and
+// the delay after which a hedge is worth its cost.
+package retrier
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	milli            = 1000 // budget units per attempt
+	budgetBurst      = 10   // attempts that may be saved up
+	RetryShare       = 0.2  // RetryShare is the share of calls that may be retried.
+	HedgeShare       = 0.04 // HedgeShare is the share of calls that may be hedged.
+	MaxAttempts      = 4    // MaxAttempts bounds the attempts of one call.
+	MaxHedgeDepth    = 1    // MaxHedgeDepth is the deepest level of a call chain that hedges.
+	hedgeQuantile    = 0.95
+	quantileStep     = 0.02
+	startHedge       = 20 * time.Millisecond
+	minHedge         = time.Millisecond
+	maxHedge         = 2 * time.Second
+	hedgeDelayFactor = 1.2
+)
+
+// Budget allows a share of the calls to be repeated. The zero value allows none.
+type Budget struct {
+	Share float64
+
+	tokens atomic.Int64
+}
+
+// Deposit adds the share of one call.
+func (b *Budget) Deposit() {
+	if b.tokens.Load() < budgetBurst*milli {
+		b.tokens.Add(int64(b.Share * milli))
+	}
+}
+
+// Withdraw spends one attempt, if there is one.
+func (b *Budget) Withdraw() bool {
+	for {
+		have := b.tokens.Load()
+		if have < milli {
+			return false
+		}
+		if b.tokens.CompareAndSwap(have, have-milli) {
+			return true
+		}
+	}
+}
+
+// Delay tracks a high quantile of a route's latency. The zero value is ready.
+type Delay struct {
+	bits atomic.Uint64 // float64 bits of the estimate in seconds
+}
+
+// Observe takes in the latency of one answer.
+func (d *Delay) Observe(latency time.Duration) {
+	old := d.estimate()
+	step := quantileStep * old
+	next := old - step*(1-hedgeQuantile)
+	if latency.Seconds() > old {
+		next = old + step*hedgeQuantile
+	}
+	next = min(max(next, minHedge.Seconds()), maxHedge.Seconds())
+	d.bits.Store(math.Float64bits(next))
+}
+
+func (d *Delay) estimate() float64 {
+	bits := d.bits.Load()
+	if bits == 0 {
+		return startHedge.Seconds()
+	}
+	return math.Float64frombits(bits)
+}
+
+// Hedge returns the delay after which a second attempt may start.
+func (d *Delay) Hedge() time.Duration {
+	return time.Duration(hedgeDelayFactor * d.estimate() * float64(time.Second))
+}
--- /dev/null
+++ b/internal/call/router/router.go
@@ -0,0 +1,86 @@
+// Package router finds the route of a call and the targets that may serve it.
+package router
+
+import (
+	"sort"
+	"strings"
+
+	"clementinerock/internal/call/picker"
+	"clementinerock/internal/config/compiler"
+)
+
+const wildcard = "/*"
+
+// Match is the contract and route of a call.
+type Match struct {
+	Contract *compiler.Contract
+	Route    *compiler.Route
+}
+
+// Table finds routes by method and path. It is immutable.
+type Table struct {
+	exact    map[string]Match
+	prefixes []prefix
+	services map[string]*compiler.Contract
+}
+
+type prefix struct {
+	method string
+	path   string // without the wildcard, ending in a slash
+	match  Match
+}
+
+// New returns the table of a checked version.
+func New(contracts []compiler.Contract) *Table {
+	t := &Table{
+		exact:    make(map[string]Match),
+		services: make(map[string]*compiler.Contract, len(contracts)),
+	}
+	for i := range contracts {
+		contract := &contracts[i]
+		t.services[contract.Service] = contract
+		for j := range contract.Routes {
+			t.add(contract, &contract.Routes[j])
+		}
+	}
+	sort.SliceStable(t.prefixes, func(i, j int) bool {
+		return len(t.prefixes[i].path) > len(t.prefixes[j].path)
+	})
+	return t
+}
+
+func (t *Table) add(contract *compiler.Contract, route *compiler.Route) {
+	match := Match{Contract: contract, Route: route}
+	if base, ok := strings.CutSuffix(route.Path, wildcard); ok {
+		t.prefixes = append(t.prefixes, prefix{method: route.Method, path: base + "/", match: match})
+		return
+	}
+	t.exact[route.Method+" "+route.Path] = match
+}
+
+// Find returns the route of a call; an exact path goes before a longer prefix.
+func (t *Table) Find(method, path string) (Match, bool) {
+	if match, ok := t.exact[method+" "+path]; ok {
+		return match, true
+	}
+	for i := range t.prefixes {
+		p := &t.prefixes[i]
+		if p.method == method && strings.HasPrefix(path, p.path) {
+			return p.match, true
+		}
+	}
+	return Match{}, false
+}
+
+// Contract returns the contract of a service, or nil.
+func (t *Table) Contract(service string) *compiler.Contract { return t.services[service] }
+
+// View is what traffic goroutines read: one version and the targets known. It is
+// replaced as a whole and never changed.
+type View struct {
+	Version  uint64
+	Ready    bool
+	Draining bool
+	Table    *Table
+	Targets  map[string][]*picker.Target // by service
+}
--- /dev/null
+++ b/internal/cli/commander/commander.go
@@ -0,0 +1,188 @@
+// Package commander is the command line: one file per command.
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"clementinerock/internal/store/caller"
+
+	"github.com/google/subcommands"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Exit codes.
+const (
+	exitOK         = int(subcommands.ExitSuccess)
+	exitFailure    = int(subcommands.ExitFailure)    // the command could not do its work
+	exitUsage      = int(subcommands.ExitUsageError) // the words or flags are wrong
+	exitFault      = 3                               // settings, a questionnaire or a promise is faulty
+	exitSuperseded = 4                               // another approval came first
+	exitWaiting    = 5                               // not in force everywhere within the time given
+)
+
+const defaultStore = "127.0.0.1:7100"
+
+// command is one subcommand.
+type command struct {
+	name     string
+	synopsis string
+	usage    string
+	flags    func(*flag.FlagSet, *options)
+	action   func(*env, []string) int
+}
+
+// options are the flags of all commands; each command registers those it uses.
+type options struct {
+	store    string
+	admin    string
+	settings string
+	listen   string
+	author   string
+	note     string
+	mesh     string
+	dir      string
+	timeout  time.Duration
+	seed     uint64
+	version  uint64
+	json     bool
+	watch    bool
+	check    bool
+	wait     bool
+	remove   string
+	sabotage bool
+}
+
+// env is what an action works with.
+type env struct {
+	options
+
+	ctx context.Context
+	out io.Writer
+	err io.Writer
+}
+
+// commands lists every command in the order of the help.
+var commands = []command{
+	demoCommand,
+	nodeCommand,
+	storeCommand,
+	keysCommand,
+	questionnaireCommand,
+	planCommand,
+	approveCommand,
+	rejectCommand,
+	undoCommand,
+	historyCommand,
+	statusCommand,
+	dumpCommand,
+	versionCommand,
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	top := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	top.SetOutput(errOut)
+	commander := subcommands.NewCommander(top, "clementinerock")
+	commander.Output = out
+	commander.Error = errOut
+	commander.Register(commander.HelpCommand(), "help")
+	commander.Register(commander.FlagsCommand(), "help")
+	for i := range commands {
+		commander.Register(&adapter{command: &commands[i], out: out, err: errOut}, "")
+	}
+	if err := top.Parse(args[1:]); err != nil {
+		return exitUsage
+	}
+	return int(commander.Execute(context.Background()))
+}
+
+// adapter makes a command fit the subcommands library.
+type adapter struct {
+	command *command
+	options options
+	out     io.Writer
+	err     io.Writer
+}
+
+// Name returns the name of the command.
+func (a *adapter) Name() string { return a.command.name }
+
+// Synopsis returns its one-line description.
+func (a *adapter) Synopsis() string { return a.command.synopsis }
+
+// Usage returns its help.
+func (a *adapter) Usage() string { return a.command.usage + "\n" }
+
+// SetFlags registers its flags.
+func (a *adapter) SetFlags(set *flag.FlagSet) {
+	if a.command.flags != nil {
+		a.command.flags(set, &a.options)
+	}
+}
+
+// Execute runs its action.
+func (a *adapter) Execute(ctx context.Context, set *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	e := &env{options: a.options, ctx: ctx, out: a.out, err: a.err}
+	return subcommands.ExitStatus(a.command.action(e, set.Args()))
+}
+
+func (e *env) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.out, format+"\n", args...)
+}
+
+// fail prints an error and returns code.
+func (e *env) fail(code int, err error) int {
+	_, _ = fmt.Fprintf(e.err, "clementinerock: %v\n", err)
+	return code
+}
+
+func (e *env) usage(text string) int {
+	_, _ = fmt.Fprintf(e.err, "clementinerock: %s\n", text)
+	return exitUsage
+}
+
+func (e *env) printJSON(value any) int {
+	encoder := json.NewEncoder(e.out)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(value); err != nil {
+		return e.fail(exitFailure, err)
+	}
+	return exitOK
+}
+
+func (e *env) storeCaller() *caller.Caller { return caller.New(e.store) }
+
+func storeFlag(set *flag.FlagSet, o *options) {
+	set.StringVar(&o.store, "store", defaultStore, "address of the platform's store")
+}
+
+func jsonFlag(set *flag.FlagSet, o *options) {
+	set.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+func authorFlag(set *flag.FlagSet, o *options) {
+	set.StringVar(&o.author, "author", "", "name of the operator")
+}
+
+// newLog returns the process's logger, which writes to standard error.
+func newLog(level string) (*zap.Logger, error) {
+	config := zap.NewProductionConfig()
+	config.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	config.DisableStacktrace = true
+	config.DisableCaller = true
+	config.Sampling = nil
+	if level != "" {
+		parsed, err := zapcore.ParseLevel(level)
+		if err != nil {
+			return nil, err
+		}
+		config.Level = zap.NewAtomicLevelAt(parsed)
+	}
+	return config.Build()
+}
--- /dev/null
+++ b/internal/config/approver/head.go
@@ -0,0 +1,163 @@
+// Package approver turns proposals into versions. A version is committed by one
+// compare-and-swap on the head in the platform's store.
+package approver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"clementinerock/internal/config/compiler"
+	"clementinerock/internal/config/indexer"
+	"clementinerock/internal/store/keeper"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// HeadKey is the store key of the head.
+const HeadKey = "head"
+
+const (
+	historyPrefix  = "history/"
+	chunkPrefix    = "chunks/"
+	proposalPrefix = "proposals/"
+	lostTries      = 5
+)
+
+// Store is what the approver needs of the platform's store.
+type Store interface {
+	Get(ctx context.Context, key string) (keeper.Entry, error)
+	List(ctx context.Context, prefix string) ([]keeper.Entry, error)
+	Swap(ctx context.Context, key string, revision uint64, value []byte) (keeper.Entry, error)
+}
+
+// Head names an approved version. Versions only rise.
+type Head struct {
+	Version   uint64       `cbor:"1,keyasint" json:"version"`
+	Root      indexer.Hash `cbor:"2,keyasint" json:"root"`
+	Operation string       `cbor:"3,keyasint,omitempty" json:"operation"` // the proposal that made it
+	Author    string       `cbor:"4,keyasint,omitempty" json:"author"`
+	Approved  int64        `cbor:"5,keyasint,omitempty" json:"approvedUnixMs"`
+}
+
+// DecodeHead reads a head from its stored form.
+func DecodeHead(data []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(data, &head); err != nil {
+		return head, merry.Prepend(err, "decode head")
+	}
+	return head, nil
+}
+
+// Approver reads and writes versions and proposals.
+type Approver struct {
+	Store Store
+	Now   func() time.Time // defaults to time.Now
+}
+
+func (a *Approver) now() time.Time {
+	if a.Now != nil {
+		return a.Now()
+	}
+	return time.Now()
+}
+
+// Head returns the present head and its store revision; before the first
+// approval both are zero.
+func (a *Approver) Head(ctx context.Context) (Head, uint64, error) {
+	entry, err := a.Store.Get(ctx, HeadKey)
+	if errors.Is(err, keeper.ErrMissing) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, merry.Prepend(err, "read head")
+	}
+	head, err := DecodeHead(entry.Value)
+	return head, entry.Revision, err
+}
+
+// Past returns the head of an earlier version.
+func (a *Approver) Past(ctx context.Context, version uint64) (Head, error) {
+	entry, err := a.Store.Get(ctx, historyKey(version))
+	if err != nil {
+		return Head{}, merry.Prependf(err, "read version %d", version)
+	}
+	return DecodeHead(entry.Value)
+}
+
+// Load reads the index of a version. Chunks of base are not read again.
+func (a *Approver) Load(ctx context.Context, root indexer.Hash, base indexer.Index) (indexer.Index, error) {
+	return indexer.Load(root, base, func(hash indexer.Hash) ([]byte, error) {
+		entry, err := a.Store.Get(ctx, chunkPrefix+hash.String())
+		return entry.Value, err
+	})
+}
+
+// Contracts decodes and returns every contract of an index.
+func Contracts(index indexer.Index) ([]compiler.Contract, error) {
+	items := index.Items()
+	contracts := make([]compiler.Contract, 0, len(items))
+	for _, item := range items {
+		contract, err := compiler.Decode(item.Data)
+		if err != nil {
+			return nil, merry.Prepend(err, item.Name)
+		}
+		if contract.Service != item.Name {
+			return nil, compiler.Fault{Service: item.Name, Problem: "its contract names service " + contract.Service}
+		}
+		contracts = append(contracts, contract)
+	}
+	return contracts, nil
+}
+
+func (a *Approver) writeChunks(ctx context.Context, chunks []indexer.Chunk) error {
+	for _, chunk := range chunks {
+		if err := a.create(ctx, chunkPrefix+chunk.Hash.String(), chunk.Data); err != nil {
+			return merry.Prepend(err, "write chunk")
+		}
+	}
+	return nil
+}
+
+// create writes a key whose value never changes; writing it again is harmless.
+func (a *Approver) create(ctx context.Context, key string, value []byte) error {
+	var err error
+	for range lostTries {
+		_, err = a.Store.Swap(ctx, key, 0, value)
+		if err == nil || errors.Is(err, keeper.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, keeper.ErrLost) {
+			return err
+		}
+	}
+	return err
+}
+
+func historyKey(version uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, version) }
+
+// History returns every approved version, oldest first.
+func (a *Approver) History(ctx context.Context) ([]Head, error) {
+	entries, err := a.Store.List(ctx, historyPrefix)
+	if err != nil {
+		return nil, merry.Prepend(err, "read history")
+	}
+	var heads []Head
+	for _, entry := range entries {
+		head, err := DecodeHead(entry.Value)
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	head, _, err := a.Head(ctx)
+	if err != nil || head.Version == 0 {
+		return heads, err
+	}
+	if len(heads) == 0 || heads[len(heads)-1].Version < head.Version {
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
--- /dev/null
+++ b/internal/config/compiler/contract.go
@@ -0,0 +1,105 @@
+// Package compiler turns questionnaires into contracts, the configuration that
+// nodes run. The result depends only on the answers, never on their order.
+package compiler
+
+import (
+	"sort"
+	"time"
+
+	"clementinerock/internal/config/parser"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Contract is the compiled configuration of one service.
+type Contract struct {
+	Service string   `cbor:"1,keyasint" json:"service"`
+	Owner   string   `cbor:"2,keyasint" json:"owner"`
+	Contact string   `cbor:"3,keyasint,omitempty" json:"contact"`
+	Needs   []string `cbor:"4,keyasint,omitempty" json:"needs"`
+	Zones   []string `cbor:"5,keyasint" json:"zones"`
+	Slots   int      `cbor:"6,keyasint" json:"slots"`
+	Routes  []Route  `cbor:"7,keyasint" json:"routes"`
+}
+
+// Route maps a method and path to an operation of a contract.
+type Route struct {
+	Operation string        `cbor:"1,keyasint" json:"operation"`
+	Method    string        `cbor:"2,keyasint" json:"method"`
+	Path      string        `cbor:"3,keyasint" json:"path"`
+	Effect    parser.Effect `cbor:"4,keyasint" json:"effect"`
+	Work      parser.Work   `cbor:"5,keyasint" json:"work"`
+	Timeout   time.Duration `cbor:"6,keyasint" json:"timeout"`
+}
+
+// Idempotent reports whether the operation may be repeated.
+func (r *Route) Idempotent() bool { return r.Effect == parser.EffectLookup }
+
+var encMode = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Compile turns one questionnaire into its contract.
+func Compile(q *parser.Questionnaire) Contract {
+	contract := Contract{
+		Service: q.Service,
+		Owner:   q.Owner,
+		Contact: q.Contact,
+		Needs:   sortedSet(q.Needs),
+		Zones:   sortedSet(q.Zones),
+		Slots:   q.Slots,
+	}
+	for i := range q.Operations {
+		op := &q.Operations[i]
+		contract.Routes = append(contract.Routes, Route{
+			Operation: op.Name,
+			Method:    op.Method,
+			Path:      op.Path,
+			Effect:    op.Effect,
+			Work:      op.Work,
+			Timeout:   op.Wait.Duration,
+		})
+	}
+	sort.Slice(contract.Routes, func(i, j int) bool {
+		return contract.Routes[i].Operation < contract.Routes[j].Operation
+	})
+	return contract
+}
+
+// Encode returns the deterministic bytes of the contract.
+func (c *Contract) Encode() []byte {
+	data, err := encMode.Marshal(c)
+	if err != nil {
+		panic(err) // plain data always encodes
+	}
+	return data
+}
+
+// Decode reads a contract from its bytes.
+func Decode(data []byte) (Contract, error) {
+	var contract Contract
+	if err := cbor.Unmarshal(data, &contract); err != nil {
+		return contract, merry.Prepend(err, "decode contract")
+	}
+	return contract, nil
+}
+
+func sortedSet(names []string) []string {
+	if len(names) == 0 {
+		return nil
+	}
+	sorted := append([]string(nil), names...)
+	sort.Strings(sorted)
+	unique := sorted[:1]
+	for _, name := range sorted[1:] {
+		if name != unique[len(unique)-1] {
+			unique = append(unique, name)
+		}
+	}
+	return unique
+}
--- /dev/null
+++ b/internal/config/parser/questionnaire.go
@@ -0,0 +1,196 @@
+// Package parser reads and checks the questionnaires that operators fill in.
+package parser
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Effect says whether an operation may be repeated.
+type Effect string
+
+// Effects of an operation on the service's data.
+const (
+	EffectLookup Effect = "lookup" // idempotent; may be repeated
+	EffectBook   Effect = "book"   // runs at most once
+	EffectPay    Effect = "pay"    // runs at most once
+)
+
+// Work says how long an operation usually holds a slot.
+type Work string
+
+// Kinds of work.
+const (
+	WorkShort Work = "short"
+	WorkBulk  Work = "bulk"
+)
+
+// Limits of a questionnaire's answers.
+const (
+	MaxSlots      = 1024
+	MaxWait       = 10 * time.Minute
+	MinWait       = time.Millisecond
+	MaxOperations = 200
+)
+
+// Questionnaire is a team's description of its service.
+type Questionnaire struct {
+	Service    string      `toml:"service" json:"service"`
+	Owner      string      `toml:"owner" json:"owner"`
+	Contact    string      `toml:"contact" json:"contact"`
+	Needs      []string    `toml:"needs" json:"needs"`
+	Zones      []string    `toml:"zones" json:"zones"`
+	Slots      int         `toml:"slots" json:"slots"`
+	Operations []Operation `toml:"operation" json:"operations"`
+
+	File string `toml:"-" json:"-"` // where it was read from, for messages
+}
+
+// Operation is one thing that callers may ask of the service.
+type Operation struct {
+	Name   string   `toml:"name" json:"name"`
+	Method string   `toml:"method" json:"method"`
+	Path   string   `toml:"path" json:"path"`
+	Effect Effect   `toml:"effect" json:"effect"`
+	Work   Work     `toml:"work" json:"work"`
+	Wait   Duration `toml:"wait" json:"wait"`
+}
+
+// Duration is a time.Duration written as text, for example "250ms".
+type Duration struct{ time.Duration }
+
+// UnmarshalText parses the text form.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"250ms\" or \"2s\"", text)
+	}
+	d.Duration = parsed
+	return nil
+}
+
+// MarshalText returns the text form.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// Fault is one wrong answer in a questionnaire.
+type Fault struct {
+	File    string
+	Field   string
+	Found   string
+	Allowed string
+}
+
+// Error names the file, the field, what was found and what is allowed.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s: %s: found %s; allowed: %s", f.File, f.Field, f.Found, f.Allowed)
+}
+
+// ReadFile reads and checks the questionnaire in a file.
+func ReadFile(path string) (Questionnaire, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Questionnaire{}, merry.Prepend(err, "read questionnaire")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks a questionnaire. All faults are returned together.
+func Parse(file string, data []byte) (Questionnaire, error) {
+	var q Questionnaire
+	decoder := toml.NewDecoder(strings.NewReader(string(data)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&q); err != nil {
+		return q, DecodeFault(file, err)
+	}
+	q.File = file
+	return q, errors.Join(q.Check()...)
+}
+
+// DecodeFault turns a TOML error into one that names the file and the line.
+func DecodeFault(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var faults []error
+		for _, e := range strict.Errors {
+			line, _ := e.Position()
+			field := strings.Join(e.Key(), ".")
+			faults = append(faults, Fault{File: fmt.Sprintf("%s:%d", file, line), Field: field, Found: "an unknown key", Allowed: "only the documented keys"})
+		}
+		return errors.Join(faults...)
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ := decode.Position()
+		field := strings.Join(decode.Key(), ".")
+		return Fault{File: fmt.Sprintf("%s:%d", file, line), Field: field, Found: decode.Error(), Allowed: "valid TOML of the documented type"}
+	}
+	return merry.Prepend(err, file)
+}
+
+var (
+	nameForm = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+	pathForm = regexp.MustCompile(`^/[A-Za-z0-9._~/-]*(/\*)?$`)
+)
+
+// ValidName reports whether a name may be used for a service, machine or zone.
+func ValidName(name string) bool { return nameForm.MatchString(name) }
+
+const nameRule = "lower-case letters, digits and hyphens, starting with a letter, at most 63"
+
+// Check returns every fault in the answers.
+func (q *Questionnaire) Check() []error {
+	c := checker{file: q.File}
+	c.require(ValidName(q.Service), "service", q.Service, nameRule)
+	c.require(strings.TrimSpace(q.Owner) != "", "owner", q.Owner, "the name of the owner")
+	c.require(q.Slots >= 1 && q.Slots <= MaxSlots, "slots", q.Slots, fmt.Sprintf("1 to %d", MaxSlots))
+	c.require(len(q.Zones) > 0, "zones", q.Zones, "at least one zone")
+	for i, zone := range q.Zones {
+		c.require(ValidName(zone), fmt.Sprintf("zones[%d]", i), zone, nameRule)
+	}
+	for i, need := range q.Needs {
+		c.require(ValidName(need), fmt.Sprintf("needs[%d]", i), need, nameRule)
+		c.require(need != q.Service, fmt.Sprintf("needs[%d]", i), need, "another service")
+	}
+	count := len(q.Operations)
+	c.require(count >= 1 && count <= MaxOperations, "operation", count, fmt.Sprintf("1 to %d operations", MaxOperations))
+	seen := make(map[string]bool)
+	for i := range q.Operations {
+		c.operation(i, &q.Operations[i], seen)
+	}
+	return c.faults
+}
+
+type checker struct {
+	file   string
+	faults []error
+}
+
+func (c *checker) require(ok bool, field string, found any, allowed string) {
+	if ok {
+		return
+	}
+	c.faults = append(c.faults, Fault{File: c.file, Field: field, Found: fmt.Sprintf("%#v", found), Allowed: allowed})
+}
+
+func (c *checker) operation(index int, op *Operation, seen map[string]bool) {
+	field := func(name string) string { return fmt.Sprintf("operation[%d].%s", index, name) }
+	c.require(ValidName(op.Name), field("name"), op.Name, nameRule)
+	c.require(!seen[op.Name], field("name"), op.Name, "a name used once")
+	seen[op.Name] = true
+	switch op.Method {
+	case "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE":
+	default:
+		c.require(false, field("method"), op.Method, "GET, HEAD, POST, PUT, PATCH or DELETE")
+	}
+	c.require(pathForm.MatchString(op.Path), field("path"), op.Path, "an absolute path, with /* at its end for everything below it")
+	c.require(op.Effect == EffectLookup || op.Effect == EffectBook || op.Effect == EffectPay, field("effect"), op.Effect, "lookup, book or pay")
+	c.require(op.Work == WorkShort || op.Work == WorkBulk, field("work"), op.Work, "short or bulk")
+	c.require(op.Wait.Duration >= MinWait && op.Wait.Duration <= MaxWait, field("wait"), op.Wait.String(), fmt.Sprintf("%s to %s", MinWait, MaxWait))
+}
--- /dev/null
+++ b/internal/demo/builder/builder.go
@@ -0,0 +1,360 @@
+// Package builder assembles whole meshes in one process: nodes and stand-in
+// targets with real sockets on loopback, on an embedded store.
+package builder
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"net"
+	"path"
+	"sort"
+	"sync"
+	"time"
+
+	"clementinerock/examples"
+	"clementinerock/internal/call/picker"
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/config/parser"
+	"clementinerock/internal/demo/delayer"
+	"clementinerock/internal/demo/responder"
+	"clementinerock/internal/mesh/gossiper"
+	"clementinerock/internal/mesh/messenger"
+	"clementinerock/internal/mesh/signer"
+	"clementinerock/internal/node/announcer"
+	"clementinerock/internal/node/runner"
+	"clementinerock/internal/store/keeper"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+)
+
+// Service is the size of one service.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+}
+
+// Deployment is the size of one user's mesh.
+type Deployment struct {
+	Name     string
+	Region   string
+	Zones    []string
+	Services []Service
+	Hop      time.Duration // one way between zones
+	Client   time.Duration // one way to callers
+	Connect  time.Duration // cost of a new connection to a target
+}
+
+// Deployments by name.
+var Deployments = map[string]Deployment{
+	"viti": {
+		Name:     "viti",
+		Region:   "viti-levu",
+		Zones:    []string{"suva", "nadi", "ba"},
+		Services: []Service{{"slotboard", 5, 6}, {"pickupdesk", 5, 6}, {"spreadlog", 3, 6}},
+		Hop:      500 * time.Microsecond,
+		Client:   8 * time.Millisecond,
+		Connect:  time.Millisecond,
+	},
+	"bellenblaas": {
+		Name:     "bellenblaas",
+		Region:   "nl-west",
+		Zones:    []string{"nl-west-1", "nl-west-2", "nl-west-3"},
+		Services: []Service{{"catalogue", 6, 12}, {"bookings", 4, 12}, {"checkout", 3, 12}},
+		Hop:      1500 * time.Microsecond,
+		Client:   8 * time.Millisecond,
+		Connect:  time.Millisecond,
+	},
+}
+
+// Options change how a mesh is assembled.
+type Options struct {
+	Pick    string
+	Limit   string
+	NoHedge bool
+	Gossip  gossiper.Config
+	Seed    uint64
+	Log     *zap.Logger
+}
+
+// Host is one machine of a mesh.
+type Host struct {
+	Name    string
+	Zone    string
+	Region  string
+	Node    *runner.Node
+	Admin   string
+	Targets []*responder.Target
+
+	stop func()
+}
+
+// Stop ends the host's node at once.
+func (h *Host) Stop() { h.stop() }
+
+// Mesh is a running mesh.
+type Mesh struct {
+	Deployment Deployment
+	Options    Options
+	Store      *keeper.Keeper
+	Approver   *approver.Approver
+
+	authority signer.Pair
+	mu        sync.Mutex
+	hosts     []*Host
+	zones     map[string]string // zone by peer address
+	cleanups  []func()
+}
+
+// New returns a mesh without hosts. The clean-up function stops everything.
+func New(deployment Deployment, options Options) (*Mesh, func(), error) {
+	authority, err := signer.NewAuthority(time.Now())
+	if err != nil {
+		return nil, nil, err
+	}
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	store := &keeper.Keeper{}
+	m := &Mesh{
+		Deployment: deployment,
+		Options:    options,
+		Store:      store,
+		Approver:   &approver.Approver{Store: store},
+		authority:  authority,
+		zones:      make(map[string]string),
+	}
+	return m, m.stopAll, nil
+}
+
+func (m *Mesh) stopAll() {
+	m.mu.Lock()
+	cleanups := m.cleanups
+	m.cleanups = nil
+	m.mu.Unlock()
+	var group sync.WaitGroup
+	for _, cleanup := range cleanups {
+		group.Go(cleanup)
+	}
+	group.Wait()
+}
+
+// Hosts returns the hosts started so far.
+func (m *Mesh) Hosts() []*Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]*Host(nil), m.hosts...)
+}
+
+// StartAll starts one host for each target of the deployment.
+func (m *Mesh) StartAll() error {
+	index := 0
+	for _, service := range m.Deployment.Services {
+		for i := range service.Targets {
+			zone := m.Deployment.Zones[index%len(m.Deployment.Zones)]
+			name := fmt.Sprintf("%s-%s-%d", zone, service.Name, i+1)
+			host, err := m.StartHost(name, zone, m.Deployment.Region, m.Seeds())
+			if err != nil {
+				return err
+			}
+			if _, err := m.StartTarget(host, service); err != nil {
+				return err
+			}
+			index++
+		}
+	}
+	return nil
+}
+
+// Seeds returns the control addresses of up to three hosts.
+func (m *Mesh) Seeds() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var seeds []string
+	for i := 0; i < len(m.hosts) && len(seeds) < 3; i++ {
+		seeds = append(seeds, m.hosts[i].Node.Machine().Control)
+	}
+	return seeds
+}
+
+// StartHost starts a node on a machine of its own.
+func (m *Mesh) StartHost(name, zone, region string, peers []string) (*Host, error) {
+	pair, err := signer.Issue(m.authority, name, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	identity, err := signer.NewIdentity(pair, m.authority.Certificate)
+	if err != nil {
+		return nil, err
+	}
+	policy := picker.New(m.Options.Pick)
+	if policy == nil {
+		return nil, merry.Errorf("no pick policy %q", m.Options.Pick)
+	}
+	const anyPort = "127.0.0.1:0"
+	node, stopNode, err := runner.New(runner.Config{
+		Machine:  messenger.Machine{Name: name, Zone: zone, Region: region, Control: anyPort, Peer: anyPort},
+		Calls:    anyPort,
+		Identity: identity,
+		Store:    m.Store,
+		Peers:    peers,
+		Gossip:   m.Options.Gossip,
+		Pick:     policy,
+		Limit:    m.Options.Limit,
+		Hedging:  !m.Options.NoHedge,
+		Log:      m.Options.Log,
+		Seed:     m.Options.Seed,
+		Dial:     m.dialer(zone),
+	})
+	if err != nil {
+		return nil, err
+	}
+	admin, stopAdmin, err := announcer.New(anyPort, node, node.Metrics().Handler())
+	if err != nil {
+		stopNode()
+		return nil, err
+	}
+	var once sync.Once
+	stop := func() {
+		once.Do(func() {
+			stopAdmin()
+			stopNode()
+		})
+	}
+	host := &Host{Name: name, Zone: zone, Region: region, Node: node, Admin: admin, stop: stop}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hosts = append(m.hosts, host)
+	m.zones[node.Machine().Peer] = zone
+	m.cleanups = append(m.cleanups, stop)
+	return host, nil
+}
+
+// dialer connects to other nodes with the latency between zones.
+func (m *Mesh) dialer(zone string) func(address string) (net.Conn, error) {
+	return func(address string) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return nil, err
+		}
+		m.mu.Lock()
+		other := m.zones[address]
+		m.mu.Unlock()
+		if other == zone {
+			return conn, nil
+		}
+		return delayer.Wrap(conn, m.Deployment.Hop), nil
+	}
+}
+
+// StartTarget starts a stand-in target on a host.
+func (m *Mesh) StartTarget(host *Host, service Service) (*responder.Target, error) {
+	target, stop, err := responder.New(responder.Config{
+		Service: service.Name,
+		Slots:   service.Slots,
+		Connect: m.Deployment.Connect,
+		Admin:   host.Admin,
+	})
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	host.Targets = append(host.Targets, target)
+	m.cleanups = append(m.cleanups, stop)
+	return target, nil
+}
+
+// Targets returns the targets of all hosts.
+func (m *Mesh) Targets() []*responder.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var targets []*responder.Target
+	for _, host := range m.hosts {
+		targets = append(targets, host.Targets...)
+	}
+	return targets
+}
+
+// Questionnaires returns the example questionnaires of a deployment.
+func Questionnaires(deployment string) ([]parser.Questionnaire, error) {
+	names, err := fs.Glob(examples.Files, deployment+"/*.toml")
+	if err != nil {
+		return nil, merry.Prepend(err, "list examples")
+	}
+	sort.Strings(names)
+	var list []parser.Questionnaire
+	for _, name := range names {
+		data, err := examples.Files.ReadFile(name)
+		if err != nil {
+			return nil, merry.Prepend(err, "read example")
+		}
+		q, err := parser.Parse(path.Join("examples", name), data)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, q)
+	}
+	return list, nil
+}
+
+// Change submits and approves questionnaires and returns the new head.
+func (m *Mesh) Change(ctx context.Context, questionnaires []parser.Questionnaire, author string) (approver.Head, error) {
+	proposal, err := m.Approver.Submit(ctx, questionnaires, nil, author, "")
+	if err != nil {
+		return approver.Head{}, err
+	}
+	result, err := m.Approver.Approve(ctx, proposal.ID, author)
+	if err != nil {
+		return approver.Head{}, err
+	}
+	if result.Verdict != approver.Approved {
+		return result.Head, merry.Errorf("proposal %s came after version %d", proposal.ID, result.Head.Version)
+	}
+	return result.Head, nil
+}
+
+const pollInterval = 2 * time.Millisecond
+
+// Await waits until every given host has a version in force and returns when each
+// one got there.
+func Await(hosts []*Host, version uint64, timeout time.Duration) ([]time.Time, error) {
+	reached := make([]time.Time, len(hosts))
+	deadline := time.Now().Add(timeout)
+	for {
+		missing := 0
+		for i, host := range hosts {
+			if !reached[i].IsZero() {
+				continue
+			}
+			if head, _ := host.Node.Current(); head.Version >= version {
+				reached[i] = time.Now()
+			} else {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return reached, nil
+		}
+		if time.Now().After(deadline) {
+			return reached, merry.Errorf("version %d is missing on %d of %d nodes", version, missing, len(hosts))
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// AwaitReady waits until every given host carries traffic.
+func AwaitReady(hosts []*Host, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for _, host := range hosts {
+		for !host.Node.Ready() {
+			if time.Now().After(deadline) {
+				return merry.Errorf("node %s is not ready", host.Name)
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/player/player.go
@@ -0,0 +1,277 @@
+// Package player runs the demo: a whole deployment in one process, from the
+// questionnaires to calls answered under a change and planned stops.
+package player
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/demo/builder"
+	"clementinerock/internal/demo/driver"
+	"clementinerock/internal/mesh/messenger"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+)
+
+const (
+	startTimeout   = 10 * time.Second
+	settleTime     = 1500 * time.Millisecond
+	convergeLimit  = 14 * time.Second // stated target
+	loadTime       = 8 * time.Second
+	changeAt       = 2 * time.Second
+	drainAt        = 4 * time.Second
+	stopAt         = 5 * time.Second
+	callsPerSecond = 400
+	statusTimeout  = 5 * time.Second
+	statusPoll     = 20 * time.Millisecond
+)
+
+// ErrBroken is returned when a promise did not hold.
+var ErrBroken = merry.Sentinel("a promise did not hold")
+
+// Demo is one run.
+type Demo struct {
+	Mesh string // name of the deployment
+	Seed uint64
+	Out  io.Writer
+	Log  *zap.Logger
+
+	// Sabotage doubles the executions that the targets report. It exists to show
+	// that a broken promise is seen.
+	Sabotage bool
+}
+
+type run struct {
+	*Demo
+
+	mesh      *builder.Mesh
+	driver    *driver.Driver
+	converged []convergence
+	faults    []string
+}
+
+type convergence struct {
+	version uint64
+	worst   time.Duration
+	perNode uint64 // control bytes sent per node while it spread
+}
+
+// Run plays the demo and returns ErrBroken if a promise did not hold.
+func (d *Demo) Run() error {
+	deployment, ok := builder.Deployments[d.Mesh]
+	if !ok {
+		return merry.Errorf("no deployment %q; there are viti and bellenblaas", d.Mesh)
+	}
+	mesh, cleanup, err := builder.New(deployment, builder.Options{Seed: d.Seed, Log: d.Log})
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	r := &run{Demo: d, mesh: mesh}
+	if err := r.start(); err != nil {
+		return err
+	}
+	if err := r.load(); err != nil {
+		return err
+	}
+	return r.conclude()
+}
+
+func (r *run) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(r.Out, format+"\n", args...) // the terminal is the only reader
+}
+
+// start brings up the nodes and targets and approves the first version.
+func (r *run) start() error {
+	deployment := r.mesh.Deployment
+	r.printf("demo: starting %s in zones %v", deployment.Name, deployment.Zones)
+	if err := r.mesh.StartAll(); err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	questionnaires, err := builder.Questionnaires(deployment.Name)
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	proposal, err := r.mesh.Approver.Submit(ctx, questionnaires, nil, "demo", "first version")
+	if err != nil {
+		return err
+	}
+	plan, err := r.mesh.Approver.Plan(ctx, proposal.ID)
+	if err != nil {
+		return err
+	}
+	r.printf("demo: proposal %s would change:", proposal.ID)
+	for _, line := range plan {
+		r.printf("  %s", line)
+	}
+	began := time.Now()
+	sent := r.bytesSent()
+	result, err := r.mesh.Approver.Approve(ctx, proposal.ID, "demo")
+	if err != nil {
+		return err
+	}
+	return r.follow(result.Head, began, sent, true)
+}
+
+func (r *run) bytesSent() uint64 {
+	total := uint64(0)
+	for _, host := range r.mesh.Hosts() {
+		sent, _ := host.Node.Traffic()
+		total += sent
+	}
+	return total
+}
+
+// follow waits for a version on every node and notes how long it took.
+func (r *run) follow(head approver.Head, began time.Time, sent uint64, show bool) error {
+	hosts := r.mesh.Hosts()
+	reached, err := builder.Await(hosts, head.Version, convergeLimit)
+	if err != nil {
+		r.faults = append(r.faults, err.Error())
+		return nil
+	}
+	c := convergence{version: head.Version, perNode: (r.bytesSent() - sent) / uint64(len(hosts))}
+	for i, at := range reached {
+		c.worst = max(c.worst, at.Sub(began))
+		if show {
+			r.printf("  version %d in force on %-28s after %s", head.Version, hosts[i].Name, at.Sub(began).Round(time.Millisecond))
+		}
+	}
+	r.converged = append(r.converged, c)
+	return builder.AwaitReady(hosts, startTimeout)
+}
+
+// load sends calls while a version is changed and a target and a node leave.
+func (r *run) load() error {
+	r.driver = &driver.Driver{
+		Distance: r.mesh.Deployment.Client,
+		Kinds:    driver.Mixes[r.mesh.Deployment.Name],
+		Seed:     r.Seed,
+	}
+	for _, host := range r.mesh.Hosts()[1:] {
+		r.driver.Addresses = append(r.driver.Addresses, host.Node.CallAddress())
+	}
+	r.driver.Prepare()
+	r.printf("demo: sending %d calls a second for %s", callsPerSecond, loadTime)
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		r.driver.Run(loadTime, driver.Constant(callsPerSecond))
+	}()
+	time.Sleep(changeAt)
+	if err := r.change(); err != nil {
+		return err
+	}
+	time.Sleep(drainAt - changeAt)
+	target := r.mesh.Targets()[2]
+	r.printf("demo: target %s of %s drains", target.Address(), target.Service())
+	if err := target.Announce(messenger.Draining); err != nil {
+		return err
+	}
+	time.Sleep(stopAt - drainAt)
+	first := r.mesh.Hosts()[0]
+	r.printf("demo: node %s leaves", first.Name)
+	if err := first.Node.Leave(); err != nil {
+		r.faults = append(r.faults, err.Error())
+	}
+	first.Stop()
+	<-loaded
+	return nil
+}
+
+// change approves a longer wait for the first operation under load.
+func (r *run) change() error {
+	questionnaires, err := builder.Questionnaires(r.mesh.Deployment.Name)
+	if err != nil {
+		return err
+	}
+	changed := questionnaires[:1]
+	changed[0].Operations[0].Wait.Duration += 500 * time.Millisecond
+	began := time.Now()
+	sent := r.bytesSent()
+	head, err := r.mesh.Change(context.Background(), changed, "demo")
+	if err != nil {
+		return err
+	}
+	r.printf("demo: version %d approved under load", head.Version)
+	return r.follow(head, began, sent, false)
+}
+
+// conclude prints the table and checks the promises.
+func (r *run) conclude() error {
+	executions := make(map[string]int)
+	for _, target := range r.mesh.Targets() {
+		target.Executions(executions)
+	}
+	if r.Sabotage {
+		for id := range executions {
+			executions[id]++
+		}
+	}
+	audit := r.driver.Audit(executions)
+	wrong, failed := r.table()
+	r.printf("work by the targets' own count: lost %d, run twice %d, refused yet run %d", audit.Lost, audit.Doubled, audit.Denied)
+	if audit.Broken() {
+		r.faults = append(r.faults, fmt.Sprintf("work was lost or doubled: %+v", audit))
+	}
+	if wrong > 0 {
+		r.faults = append(r.faults, fmt.Sprintf("%d callers got another answer than their own", wrong))
+	}
+	if failed > 0 {
+		r.faults = append(r.faults, fmt.Sprintf("%d calls were cut", failed))
+	}
+	inForce, nodes, version := r.settled()
+	if inForce != nodes {
+		r.faults = append(r.faults, "the reported convergence is incomplete")
+	}
+	verdict := "every promise checked held"
+	if len(r.faults) > 0 {
+		verdict = fmt.Sprintf("%d promises broken", len(r.faults))
+		for _, fault := range r.faults {
+			r.printf("demo: broken: %s", fault)
+		}
+	}
+	r.printf("demo: version %d in force on %d of %d nodes; %s", version, inForce, nodes, verdict)
+	if len(r.faults) > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
+func (r *run) table() (wrong, failed int64) {
+	for _, c := range r.converged {
+		r.printf("version %d: in force everywhere after %s, %d control bytes sent per node meanwhile", c.version, c.worst.Round(time.Millisecond), c.perNode)
+	}
+	w := tabwriter.NewWriter(r.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "call\tsent\tanswered\trefused\tunknown\tcut\twrong\tlate\tp50 ms\tp99 ms\t")
+	for _, t := range r.driver.Tallies() {
+		wrong += t.Wrong
+		failed += t.Failed
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", t.Kind.Name, t.Sent(), t.Answered, t.Refused,
+			t.Unknown, t.Failed, t.Wrong, t.Late, millis(t.Quantile(50)), millis(t.Quantile(99)))
+	}
+	_ = w.Flush()
+	return wrong, failed
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// settled returns the convergence that a node reports once it is complete.
+func (r *run) settled() (inForce, nodes int, version uint64) {
+	node := r.mesh.Hosts()[1].Node
+	deadline := time.Now().Add(statusTimeout)
+	for {
+		status := node.Status()
+		if status.Complete() || time.Now().After(deadline) {
+			return status.InForce, status.Nodes, status.Version
+		}
+		time.Sleep(statusPoll)
+	}
+}
--- /dev/null
+++ b/internal/mesh/gossiper/detector.go
@@ -0,0 +1,242 @@
+package gossiper
+
+import (
+	"time"
+
+	"clementinerock/internal/mesh/messenger"
+)
+
+const helpers = 3 // peers asked to probe a silent machine
+
+// detector verifies silent machines before it accuses them.
+type detector struct {
+	verifying map[string]time.Time // since when
+	accused   map[string]time.Time // suspected by this node, since when
+}
+
+func newDetector() detector {
+	return detector{
+		verifying: make(map[string]time.Time),
+		accused:   make(map[string]time.Time),
+	}
+}
+
+func (d *detector) clear(name string) {
+	delete(d.verifying, name)
+	delete(d.accused, name)
+}
+
+func (d *detector) reset(now time.Time) {
+	for name := range d.verifying {
+		d.verifying[name] = now
+	}
+	for name := range d.accused {
+		d.accused[name] = now
+	}
+}
+
+// ping keeps links alive and tells peers which version is in force here.
+func (c *Core) ping() {
+	for _, name := range c.linkNames() {
+		l := c.links[name]
+		interval := c.config.LinkPing
+		if name == c.planner.nearest {
+			interval = c.config.RingPing
+		}
+		if c.now.Sub(l.pinged) < interval || (l.inbound && !c.planner.monitored[name] && c.now.Sub(l.heard) < interval) {
+			continue
+		}
+		l.pinged = c.now
+		l.awaiting = true
+		c.send(name, messenger.Message{Ping: &messenger.Ping{Version: c.versions.head.Version}})
+	}
+}
+
+func (c *Core) receivePing(l *link, m *messenger.Message) {
+	l.awaiting = false
+	if m.Ping == nil {
+		return
+	}
+	c.learnVersion(l, m.Ping.Version)
+	if !m.Ping.Pong {
+		c.send(l.name, messenger.Message{Ping: &messenger.Ping{Pong: true, Version: c.versions.head.Version}})
+	}
+}
+
+// detect verifies peers that left a ping unanswered, and accuses those whose
+// verification failed.
+func (c *Core) detect() {
+	for _, name := range c.linkNames() {
+		l := c.links[name]
+		if l.awaiting && c.now.Sub(l.pinged) > c.config.PongTimeout && c.now.Sub(l.heard) > c.config.PongTimeout {
+			c.verify(name)
+		}
+	}
+	for _, name := range sortedNames(c.detector.verifying) {
+		if c.now.Sub(c.detector.verifying[name]) > c.config.VerifyTimeout {
+			c.concludeVerify(name)
+		}
+	}
+	for _, name := range sortedNames(c.detector.accused) {
+		c.concludeSuspicion(name)
+	}
+}
+
+// verify probes a machine directly and through peers.
+func (c *Core) verify(name string) {
+	m := c.table.get(name)
+	if m == nil || !m.present() {
+		return
+	}
+	if _, running := c.detector.verifying[name]; running {
+		return
+	}
+	if m.record.Stamp.Health == messenger.Suspect {
+		if _, mine := c.detector.accused[name]; !mine && c.sameZone(m) {
+			c.detector.accused[name] = c.now
+		}
+		return
+	}
+	c.detector.verifying[name] = c.now
+	c.emit(Probe{Machine: m.record.Machine})
+	asked := 0
+	names := c.linkNames()
+	offset := 0
+	if len(names) > 0 {
+		offset = c.rng.IntN(len(names))
+	}
+	for i := range names {
+		peer := names[(i+offset)%len(names)]
+		if peer == name || asked == helpers {
+			continue
+		}
+		asked++
+		c.send(peer, messenger.Message{Probe: &messenger.ProbeRequest{Machine: m.record.Machine}})
+	}
+}
+
+func (c *Core) sameZone(m *member) bool {
+	return m.record.Machine.Zone == c.self.record.Machine.Zone
+}
+
+// concludeVerify suspects a machine that nobody reached. A node without any link
+// accuses nobody, as it may itself be the one cut off.
+func (c *Core) concludeVerify(name string) {
+	delete(c.detector.verifying, name)
+	m := c.table.get(name)
+	if m == nil || !m.alive() {
+		return
+	}
+	if !c.connected() {
+		return
+	}
+	c.accuse(m, messenger.Suspect)
+	if c.sameZone(m) {
+		c.detector.accused[name] = c.now
+	}
+}
+
+// connected reports whether some link brought a message lately.
+func (c *Core) connected() bool {
+	for _, l := range c.links {
+		if c.now.Sub(l.heard) < 2*c.config.LinkPing && !l.awaiting {
+			return true
+		}
+	}
+	return c.present() <= 2
+}
+
+// present counts the known machines of all zones.
+func (c *Core) present() int {
+	count := 0
+	for _, r := range c.table.rings {
+		count += len(r.keys)
+	}
+	return count
+}
+
+// concludeSuspicion declares a suspect of the own zone dead unless it refuted in
+// time. Suspects of other zones are kept, since their whole zone may be parted.
+func (c *Core) concludeSuspicion(name string) {
+	m := c.table.get(name)
+	if m == nil || m.record.Stamp.Health != messenger.Suspect {
+		delete(c.detector.accused, name)
+		return
+	}
+	if c.now.Sub(c.detector.accused[name]) < c.config.SuspectTimeout {
+		return
+	}
+	if c.links[name] != nil || !c.zoneConnected() {
+		c.detector.accused[name] = c.now
+		return
+	}
+	delete(c.detector.accused, name)
+	c.accuse(m, messenger.Dead)
+}
+
+// zoneConnected reports whether this node has a link inside its own zone, or no
+// other machine of its zone is alive.
+func (c *Core) zoneConnected() bool {
+	for _, key := range c.zone().keys {
+		m := c.table.members[key]
+		if l := c.links[m.record.Machine.Name]; l != nil && !l.awaiting {
+			return true
+		}
+	}
+	alone := true
+	c.zone().clockwise(c.self.key, func(key messenger.Key) bool {
+		alone = !c.usable(key)
+		return alone
+	})
+	return alone && c.connected()
+}
+
+func (c *Core) accuse(m *member, health messenger.Health) {
+	rumor := messenger.Rumor{
+		Name:        m.record.Machine.Name,
+		Incarnation: m.record.Stamp.Incarnation,
+		Health:      health,
+	}
+	if c.table.mergeRumor(rumor, c.now) {
+		c.touched(m.key, change{health: true}, "")
+	}
+}
+
+// receiveProbe serves the probe of another node.
+func (c *Core) receiveProbe(l *link, m *messenger.Message) {
+	if m.Probe != nil {
+		name := m.Probe.Machine.Name
+		if peer := c.links[name]; peer != nil && !peer.awaiting && c.now.Sub(peer.heard) < c.config.RingPing {
+			c.send(l.name, messenger.Message{Probed: &messenger.ProbeReply{Name: name, Alive: true}})
+		} else {
+			c.emit(Probe{Machine: m.Probe.Machine})
+			c.planner.probers(name, l.name)
+		}
+	}
+	if m.Probed != nil && m.Probed.Alive {
+		c.detector.clear(m.Probed.Name)
+	}
+}
+
+// probers remembers who asked for a probe.
+func (p *planner) probers(name, asker string) {
+	if p.asked == nil {
+		p.asked = make(map[string][]string)
+	}
+	p.asked[name] = append(p.asked[name], asker)
+}
+
+// Probed reports the result of a Probe.
+func (c *Core) Probed(now time.Time, name string, alive bool) []Effect {
+	c.observe(now)
+	if alive {
+		delete(c.detector.verifying, name)
+	}
+	for _, asker := range c.planner.asked[name] {
+		if c.links[asker] != nil && alive {
+			c.send(asker, messenger.Message{Probed: &messenger.ProbeReply{Name: name, Alive: true}})
+		}
+	}
+	delete(c.planner.asked, name)
+	return c.drain()
+}
--- /dev/null
+++ b/internal/mesh/gossiper/planner.go
@@ -0,0 +1,348 @@
+package gossiper
+
+import (
+	"sort"
+	"time"
+
+	"clementinerock/internal/mesh/messenger"
+)
+
+const (
+	successors   = 2                      // alive machines linked clockwise in the own zone
+	outsiders    = 2                      // links beyond the own zone
+	maxLinks     = 40                     // links beyond this are turned away
+	replanDelay  = 200 * time.Millisecond // gathers changes before links are planned
+	replanEvery  = 5 * time.Second
+	lingerTime   = 10 * time.Second // before an unneeded link is closed
+	avoidTime    = 30 * time.Second // before an overloaded peer is tried again
+	minRedial    = 500 * time.Millisecond
+	maxRedial    = 10 * time.Second
+	minSeek      = 500 * time.Millisecond
+	maxSeek      = 15 * time.Second
+	dialDeadline = 3 * time.Second
+)
+
+// link is an open connection to a peer.
+type link struct {
+	name     string
+	inbound  bool
+	lazy     bool // gets offers in place of records
+	opened   time.Time
+	heard    time.Time
+	pinged   time.Time
+	awaiting bool // a ping is unanswered
+	unneeded time.Time
+	version  uint64 // newest version that the peer said it holds
+	dirty    map[messenger.Key]change
+	offers   map[messenger.Key]bool
+	offered  time.Time
+	pending  []int // buckets still to be synchronized
+	asked    time.Time
+}
+
+// planner chooses which links this node opens.
+type planner struct {
+	stale     bool
+	planned   time.Time
+	wanted    map[string]bool
+	monitored map[string]bool // ring successors whose failure this node detects
+	nearest   string          // next alive machine of the ring
+	parent    string
+	dialing   map[string]time.Time
+	retries   map[string]retry
+	avoided   map[string]time.Time
+	sought    time.Time
+	seekDelay time.Duration
+	asked     map[string][]string // who asked for a probe of a machine
+}
+
+type retry struct {
+	after time.Time
+	delay time.Duration
+}
+
+func newPlanner() planner {
+	return planner{
+		stale:     true,
+		wanted:    make(map[string]bool),
+		monitored: make(map[string]bool),
+		dialing:   make(map[string]time.Time),
+		retries:   make(map[string]retry),
+		avoided:   make(map[string]time.Time),
+		seekDelay: minSeek,
+	}
+}
+
+func (p *planner) avoid(name string, now time.Time) {
+	p.avoided[name] = now
+	p.stale = true
+}
+
+// seek asks for seeds while the node has no links, with full jitter.
+func (c *Core) seek() {
+	p := &c.planner
+	if len(c.links) > 0 {
+		p.seekDelay = minSeek
+		return
+	}
+	if c.now.Before(p.sought) {
+		return
+	}
+	c.emit(Seek{})
+	p.sought = c.now.Add(time.Duration(c.rng.Int64N(int64(p.seekDelay))) + p.seekDelay/2)
+	p.seekDelay = min(2*p.seekDelay, maxSeek)
+}
+
+// replan recomputes the wanted links after a change and closes those that
+// nobody needs any more.
+func (c *Core) replan() {
+	p := &c.planner
+	age := c.now.Sub(p.planned)
+	if (p.stale && age >= replanDelay) || age >= replanEvery {
+		p.planned = c.now
+		p.stale = false
+		c.plan()
+	}
+	c.dialWanted()
+	c.closeUnneeded()
+}
+
+func (c *Core) plan() {
+	p := &c.planner
+	p.wanted = make(map[string]bool)
+	p.monitored = make(map[string]bool)
+	p.nearest = ""
+	p.parent = ""
+	for name, at := range p.avoided {
+		if c.now.Sub(at) > avoidTime {
+			delete(p.avoided, name)
+		}
+	}
+	for name := range p.retries {
+		if m := c.table.get(name); m == nil || !m.present() {
+			delete(p.retries, name)
+		}
+	}
+	c.planRing()
+	c.planParent()
+	c.planOutside()
+	c.reporter.setChildren(c.childNames())
+}
+
+func (c *Core) planRing() {
+	p := &c.planner
+	alive := 0
+	c.zone().clockwise(c.self.key, func(key messenger.Key) bool {
+		m := c.table.members[key]
+		name := m.record.Machine.Name
+		p.wanted[name] = true
+		p.monitored[name] = true
+		if !m.alive() {
+			return true
+		}
+		if p.nearest == "" {
+			p.nearest = name
+		}
+		alive++
+		return alive < successors
+	})
+}
+
+func (c *Core) planParent() {
+	parent, ok := c.zone().parent(c.self.key, c.usable)
+	if !ok {
+		return
+	}
+	name := c.table.members[parent].record.Machine.Name
+	c.planner.parent = name
+	c.planner.wanted[name] = true
+}
+
+func (c *Core) childNames() []string {
+	var names []string
+	for _, key := range c.zone().children(c.self.key, c.usable) {
+		names = append(names, c.table.members[key].record.Machine.Name)
+	}
+	return names
+}
+
+type outsideZone struct {
+	zone   string
+	weight uint64
+	abroad bool
+}
+
+// planOutside links one zone of the own region and one beyond it where there are
+// such, and otherwise two of whichever kind exists.
+func (c *Core) planOutside() {
+	var zones []outsideZone
+	for zone, r := range c.table.rings {
+		if zone == c.self.record.Machine.Zone || len(r.keys) == 0 {
+			continue
+		}
+		region := c.table.members[r.keys[0]].record.Machine.Region
+		zones = append(zones, outsideZone{
+			zone:   zone,
+			weight: uint64(messenger.KeyOf(c.self.record.Machine.Name + "/" + zone)),
+			abroad: region != c.self.record.Machine.Region,
+		})
+	}
+	sort.Slice(zones, func(i, j int) bool { return zones[i].weight > zones[j].weight })
+	chosen := pickOutside(zones)
+	for _, zone := range chosen {
+		c.linkInto(zone.zone)
+	}
+}
+
+func pickOutside(zones []outsideZone) []outsideZone {
+	var near, far, chosen []outsideZone
+	for _, z := range zones {
+		if z.abroad {
+			far = append(far, z)
+		} else {
+			near = append(near, z)
+		}
+	}
+	for len(chosen) < outsiders && len(near)+len(far) > 0 {
+		if len(near) > 0 {
+			chosen = append(chosen, near[0])
+			near = near[1:]
+		}
+		if len(far) > 0 && len(chosen) < outsiders {
+			chosen = append(chosen, far[0])
+			far = far[1:]
+		}
+	}
+	return chosen
+}
+
+// linkInto wants a link to the first usable machine of a zone clockwise of this
+// node's own key, so that the links of a zone spread evenly over the other.
+func (c *Core) linkInto(zone string) {
+	c.table.ring(zone).clockwise(c.self.key, func(key messenger.Key) bool {
+		m := c.table.members[key]
+		name := m.record.Machine.Name
+		_, avoided := c.planner.avoided[name]
+		if !m.alive() || avoided {
+			return true
+		}
+		c.planner.wanted[name] = true
+		return false
+	})
+}
+
+func (c *Core) dialWanted() {
+	p := &c.planner
+	for _, name := range sortedNames(p.wanted) {
+		if c.links[name] != nil {
+			continue
+		}
+		m := c.table.get(name)
+		if m == nil || !m.present() {
+			continue
+		}
+		if started, ok := p.dialing[name]; ok && c.now.Sub(started) < dialDeadline {
+			continue
+		}
+		if c.now.Before(p.retries[name].after) {
+			continue
+		}
+		p.dialing[name] = c.now
+		c.emit(Dial{Machine: m.record.Machine})
+	}
+}
+
+func (c *Core) closeUnneeded() {
+	for _, name := range c.linkNames() {
+		l := c.links[name]
+		if l.inbound || c.planner.wanted[name] {
+			l.unneeded = time.Time{}
+			continue
+		}
+		if l.unneeded.IsZero() {
+			l.unneeded = c.now
+		}
+		if c.now.Sub(l.unneeded) > lingerTime && len(c.links) > 1 {
+			delete(c.links, name)
+			c.emit(Close{Name: name})
+		}
+	}
+}
+
+// LinkUp reports an open link to a peer.
+func (c *Core) LinkUp(now time.Time, machine messenger.Machine, inbound bool) []Effect {
+	c.observe(now)
+	name := machine.Name
+	delete(c.planner.dialing, name)
+	delete(c.planner.retries, name)
+	if inbound && len(c.links) >= maxLinks && !c.planner.wanted[name] {
+		c.send(name, messenger.Message{Overload: true})
+		c.emit(Close{Name: name})
+		return c.drain()
+	}
+	c.links[name] = &link{
+		name:    name,
+		inbound: inbound,
+		opened:  c.now,
+		heard:   c.now,
+		pinged:  c.now,
+		dirty:   make(map[messenger.Key]change),
+		offers:  make(map[messenger.Key]bool),
+	}
+	c.detector.clear(name)
+	c.greet(name)
+	return c.drain()
+}
+
+// greet starts an exchange on a new link.
+func (c *Core) greet(name string) {
+	message := messenger.Message{
+		Version: c.versions.head.Version,
+		Records: []messenger.Record{c.self.record},
+		Answer:  true,
+		Digest:  &messenger.Digest{Root: c.table.root},
+	}
+	if m := c.table.get(name); m != nil && !m.alive() {
+		message.Rumors = []messenger.Rumor{{Name: name, Incarnation: m.record.Stamp.Incarnation, Health: m.record.Stamp.Health}}
+	}
+	c.send(name, message)
+}
+
+// LinkDown reports that a link closed. A planned close by the peer is no
+// evidence against it.
+func (c *Core) LinkDown(now time.Time, name string, planned bool) []Effect {
+	c.observe(now)
+	if c.links[name] == nil {
+		return c.drain()
+	}
+	delete(c.links, name)
+	c.reporter.lost(name)
+	if !planned {
+		c.verify(name)
+	}
+	return c.drain()
+}
+
+// DialFailed reports that a link could not be opened.
+func (c *Core) DialFailed(now time.Time, name string) []Effect {
+	c.observe(now)
+	p := &c.planner
+	delete(p.dialing, name)
+	last := p.retries[name]
+	delay := min(max(2*last.delay, minRedial), maxRedial)
+	jitter := time.Duration(c.rng.Int64N(int64(delay)))
+	p.retries[name] = retry{after: c.now.Add(delay/2 + jitter), delay: delay}
+	if c.links[name] == nil {
+		c.verify(name)
+	}
+	return c.drain()
+}
+
+func sortedNames[V any](set map[string]V) []string {
+	names := make([]string, 0, len(set))
+	for name := range set {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/mesh/gossiper/reporter.go
@@ -0,0 +1,288 @@
+package gossiper
+
+import (
+	"sort"
+	"time"
+
+	"clementinerock/internal/mesh/messenger"
+)
+
+const (
+	maxLaggards   = 8                      // named in one report
+	reportDelay   = 100 * time.Millisecond // gathers changes before a report is sent up
+	zoneDelay     = 500 * time.Millisecond // between incomplete reports of a zone
+	zoneRepeat    = 30 * time.Second       // a zone's report is repeated
+	lateReport    = 2 * time.Second        // a silent subtree is named after this
+	reasonNone    = "no report"
+	reasonHost    = "unreachable"
+	reasonFetch   = "still fetching"
+	reasonRefused = "refused: "
+)
+
+// reporter counts up the tree of a zone which machines have a version in force.
+type reporter struct {
+	children map[string]*messenger.Report // nil until the child reported
+	since    map[string]time.Time
+	stale    bool
+	sent     messenger.Report
+	sentTo   string
+	sentAt   time.Time
+	zones    map[string]messenger.ZoneReport
+	zoneAt   time.Time
+	fresh    map[string]bool // zone reports to be passed on
+	from     map[string]string
+	passedAt time.Time
+}
+
+func newReporter() reporter {
+	return reporter{
+		children: make(map[string]*messenger.Report),
+		since:    make(map[string]time.Time),
+		zones:    make(map[string]messenger.ZoneReport),
+		fresh:    make(map[string]bool),
+		from:     make(map[string]string),
+		stale:    true,
+	}
+}
+
+func (r *reporter) setChildren(names []string) {
+	keep := make(map[string]*messenger.Report, len(names))
+	for _, name := range names {
+		keep[name] = r.children[name]
+	}
+	if len(keep) != len(r.children) {
+		r.stale = true
+	}
+	r.children = keep
+}
+
+func (r *reporter) lost(name string) {
+	if r.sentTo == name {
+		r.sentTo = ""
+	}
+}
+
+func (c *Core) receiveReport(l *link, m *messenger.Message) {
+	r := &c.reporter
+	if m.Report != nil {
+		if _, child := r.children[l.name]; child {
+			report := *m.Report
+			r.children[l.name] = &report
+			r.stale = true
+		} else {
+			// The planner may not have seen yet that the sender is a child.
+			c.planner.stale = true
+		}
+		c.hear(m.Report.Version)
+	}
+	for _, zone := range m.Zones {
+		if zone.Sequence <= r.zones[zone.Zone].Sequence {
+			continue
+		}
+		r.zones[zone.Zone] = zone
+		r.fresh[zone.Zone] = true
+		r.from[zone.Zone] = l.name
+	}
+}
+
+// report sends this subtree's count to the parent, or as the zone's leader the
+// whole zone's to everyone.
+func (c *Core) report() {
+	r := &c.reporter
+	waiting := r.sent.Version == c.versions.told && r.sent.InForce < c.subtreeKnown()
+	if c.leads() {
+		c.reportZone(waiting)
+	} else {
+		c.reportUp()
+	}
+	c.passZones()
+}
+
+func (c *Core) subtreeKnown() int { return len(c.reporter.children) + 1 }
+
+func (c *Core) reportUp() {
+	r := &c.reporter
+	parent := c.planner.parent
+	if parent == "" || c.links[parent] == nil {
+		return
+	}
+	moved := r.sentTo != parent
+	repeat := c.now.Sub(r.sentAt) > zoneRepeat
+	late := c.late() && c.now.Sub(r.sentAt) > lateReport
+	if (!r.stale && !moved && !repeat && !late) || c.now.Sub(r.sentAt) < reportDelay {
+		return
+	}
+	report := c.subtree()
+	r.stale = false
+	r.sentAt = c.now
+	if equalReport(report, r.sent) && !moved && !repeat {
+		return
+	}
+	r.sent = report
+	r.sentTo = parent
+	c.send(parent, messenger.Message{Report: &report})
+}
+
+func equalReport(a, b messenger.Report) bool {
+	if a.Version != b.Version || a.InForce != b.InForce || len(a.Laggards) != len(b.Laggards) {
+		return false
+	}
+	for i := range a.Laggards {
+		if a.Laggards[i] != b.Laggards[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// late reports whether the newest version has been known for a while.
+func (c *Core) late() bool { return c.now.Sub(c.versions.toldAt) > lateReport }
+
+// subtree counts this node and its children at the newest version heard of.
+func (c *Core) subtree() messenger.Report {
+	version := c.versions.told
+	report := messenger.Report{Version: version}
+	if c.versions.head.Version >= version {
+		report.InForce = 1
+	} else if c.late() {
+		report.Laggards = append(report.Laggards, messenger.Laggard{Name: c.self.record.Machine.Name, Reason: c.ownReason()})
+	}
+	for _, name := range sortedNames(c.reporter.children) {
+		child := c.reporter.children[name]
+		if child != nil && child.Version >= version {
+			report.InForce += child.InForce
+			report.Laggards = append(report.Laggards, child.Laggards...)
+			continue
+		}
+		if c.late() {
+			report.Laggards = append(report.Laggards, messenger.Laggard{Name: name, Reason: reasonNone})
+		}
+	}
+	if len(report.Laggards) > maxLaggards {
+		report.Laggards = report.Laggards[:maxLaggards]
+	}
+	return report
+}
+
+func (c *Core) ownReason() string {
+	if reason, ok := c.versions.refused[c.versions.told]; ok {
+		return reasonRefused + reason
+	}
+	return reasonFetch
+}
+
+func (c *Core) reportZone(waiting bool) {
+	r := &c.reporter
+	repeat := c.now.Sub(r.zoneAt) > zoneRepeat
+	late := waiting && c.late() && c.now.Sub(r.zoneAt) > lateReport
+	if !r.stale && !repeat && !late {
+		return
+	}
+	report := c.subtree()
+	complete := report.InForce >= c.zoneAlive()
+	if !complete && c.now.Sub(r.zoneAt) < zoneDelay {
+		return
+	}
+	r.stale = false
+	if equalReport(report, r.sent) && !repeat {
+		return
+	}
+	r.sent = report
+	r.zoneAt = c.now
+	zone := c.self.record.Machine.Zone
+	r.zones[zone] = messenger.ZoneReport{
+		Zone:     zone,
+		Sequence: max(uint64(c.now.UnixMilli()), r.zones[zone].Sequence+1),
+		Version:  report.Version,
+		InForce:  report.InForce,
+		Laggards: report.Laggards,
+	}
+	r.fresh[zone] = true
+	r.from[zone] = ""
+}
+
+func (c *Core) zoneAlive() int {
+	count := 0
+	for _, key := range c.zone().keys {
+		if c.usable(key) {
+			count++
+		}
+	}
+	return count
+}
+
+// passZones forwards new zone reports together on the eager links.
+func (c *Core) passZones() {
+	r := &c.reporter
+	if len(r.fresh) == 0 || c.now.Sub(r.passedAt) < reportDelay {
+		return
+	}
+	r.passedAt = c.now
+	for _, name := range c.linkNames() {
+		if c.links[name].lazy {
+			continue
+		}
+		var zones []messenger.ZoneReport
+		for _, zone := range sortedNames(r.fresh) {
+			if r.from[zone] != name {
+				zones = append(zones, r.zones[zone])
+			}
+		}
+		if len(zones) > 0 {
+			c.send(name, messenger.Message{Zones: zones})
+		}
+	}
+	r.fresh = make(map[string]bool)
+}
+
+// ZoneStatus is the state of one zone as this node knows it.
+type ZoneStatus struct {
+	Zone        string              `json:"zone"`
+	Version     uint64              `json:"version"`
+	InForce     int                 `json:"inForce"`
+	Alive       int                 `json:"alive"`
+	Unreachable []string            `json:"unreachable"`
+	Laggards    []messenger.Laggard `json:"laggards"`
+}
+
+// Status is the convergence of the mesh as this node knows it.
+type Status struct {
+	Version uint64       `json:"version"` // newest version heard of
+	InForce int          `json:"inForce"`
+	Nodes   int          `json:"nodes"`
+	Zones   []ZoneStatus `json:"zones"`
+}
+
+// Complete reports whether every machine known has the version in force.
+func (s *Status) Complete() bool { return s.Version > 0 && s.InForce == s.Nodes }
+
+// Status sums the reports of all zones.
+func (c *Core) Status() Status {
+	status := Status{Version: c.versions.told}
+	for zone, r := range c.table.rings {
+		if len(r.keys) == 0 {
+			continue
+		}
+		state := ZoneStatus{Zone: zone}
+		report := c.reporter.zones[zone]
+		state.Version = report.Version
+		state.Laggards = report.Laggards
+		if report.Version >= status.Version {
+			state.InForce = report.InForce
+		}
+		for _, key := range r.keys {
+			m := c.table.members[key]
+			if m.alive() {
+				state.Alive++
+			} else {
+				state.Unreachable = append(state.Unreachable, m.record.Machine.Name)
+			}
+		}
+		state.InForce = min(state.InForce, state.Alive)
+		status.InForce += state.InForce
+		status.Nodes += state.Alive + len(state.Unreachable)
+		status.Zones = append(status.Zones, state)
+	}
+	sort.Slice(status.Zones, func(i, j int) bool { return status.Zones[i].Zone < status.Zones[j].Zone })
+	return status
+}
--- /dev/null
+++ b/internal/mesh/gossiper/ring.go
@@ -0,0 +1,128 @@
+package gossiper
+
+import (
+	"math/bits"
+	"slices"
+
+	"clementinerock/internal/mesh/messenger"
+)
+
+// ring holds the members of a zone in key order, closed to a circle.
+//
+// Each member has a level, which falls by a factor of levelRatio in frequency
+// from one level to the next. Its parent is the next member clockwise of a higher
+// level. This gives a tree of logarithmic depth in which a join or a death moves
+// only the few members next to it.
+type ring struct {
+	keys []messenger.Key
+}
+
+const levelBits = 2 // each level holds a quarter of the one below
+
+func level(key messenger.Key) int { return bits.TrailingZeros64(uint64(key)) / levelBits }
+
+func (r *ring) find(key messenger.Key) (int, bool) { return slices.BinarySearch(r.keys, key) }
+
+func (r *ring) insert(key messenger.Key) {
+	i, found := r.find(key)
+	if !found {
+		r.keys = slices.Insert(r.keys, i, key)
+	}
+}
+
+func (r *ring) remove(key messenger.Key) {
+	i, found := r.find(key)
+	if found {
+		r.keys = slices.Delete(r.keys, i, i+1)
+	}
+}
+
+// clockwise calls visit for each other member after key until it returns false.
+func (r *ring) clockwise(key messenger.Key, visit func(messenger.Key) bool) {
+	start, found := r.find(key)
+	if found {
+		start++
+	}
+	for i := range r.keys {
+		next := r.keys[(start+i)%len(r.keys)]
+		if next == key || !visit(next) {
+			return
+		}
+	}
+}
+
+// counterclockwise calls visit for each other member before key until it returns
+// false.
+func (r *ring) counterclockwise(key messenger.Key, visit func(messenger.Key) bool) {
+	start, _ := r.find(key)
+	size := len(r.keys)
+	for i := 1; i <= size; i++ {
+		next := r.keys[(start-i+2*size)%size]
+		if next == key || !visit(next) {
+			return
+		}
+	}
+}
+
+// leader returns the member of the highest level, the highest key among equals.
+func (r *ring) leader(usable func(messenger.Key) bool) (messenger.Key, bool) {
+	var best messenger.Key
+	found := false
+	for _, key := range r.keys {
+		if !usable(key) {
+			continue
+		}
+		if !found || above(key, best) {
+			best = key
+			found = true
+		}
+	}
+	return best, found
+}
+
+func above(a, b messenger.Key) bool {
+	if level(a) != level(b) {
+		return level(a) > level(b)
+	}
+	return a > b
+}
+
+// parent returns the parent of key in the tree; the leader has none.
+func (r *ring) parent(key messenger.Key, usable func(messenger.Key) bool) (messenger.Key, bool) {
+	var parent messenger.Key
+	found := false
+	r.clockwise(key, func(next messenger.Key) bool {
+		if usable(next) && level(next) > level(key) {
+			parent = next
+			found = true
+		}
+		return !found
+	})
+	if found {
+		return parent, true
+	}
+	leader, ok := r.leader(usable)
+	return leader, ok && leader != key
+}
+
+// children returns the members whose parent is key.
+func (r *ring) children(key messenger.Key, usable func(messenger.Key) bool) []messenger.Key {
+	var children []messenger.Key
+	highest := -1
+	leader, ok := r.leader(usable)
+	leads := ok && leader == key
+	r.counterclockwise(key, func(next messenger.Key) bool {
+		if !usable(next) {
+			return true
+		}
+		if level(next) >= level(key) && !leads {
+			return false
+		}
+		if level(next) >= highest {
+			children = append(children, next)
+			highest = level(next)
+		}
+		return true
+	})
+	return children
+}
--- /dev/null
+++ b/internal/mesh/gossiper/table.go
@@ -0,0 +1,204 @@
+package gossiper
+
+import (
+	"time"
+
+	"clementinerock/internal/mesh/messenger"
+)
+
+const bucketCount = 256
+
+type member struct {
+	record messenger.Record
+	key    messenger.Key
+	since  time.Time // last change of health
+}
+
+func (m *member) holding() messenger.Holding {
+	return messenger.Holding{Key: m.key, Stamp: m.record.Stamp}
+}
+
+func (m *member) present() bool { return m.record.Stamp.Health <= messenger.Suspect }
+
+func (m *member) alive() bool { return m.record.Stamp.Health == messenger.Alive }
+
+// newer reports whether a says something that b doesn't.
+func newer(a, b messenger.Stamp) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence || a.Health > b.Health
+}
+
+// table holds the membership as last heard. Departed members are kept as
+// tombstones outside the digest, so that old statements can't revive them.
+type table struct {
+	members map[messenger.Key]*member
+	rings   map[string]*ring // by zone
+	buckets [bucketCount]uint64
+	root    uint64
+	names   map[string]string // shared copies of zone and region names
+}
+
+func newTable() *table {
+	return &table{
+		members: make(map[messenger.Key]*member),
+		rings:   make(map[string]*ring),
+		names:   make(map[string]string),
+	}
+}
+
+func (t *table) get(name string) *member { return t.members[messenger.KeyOf(name)] }
+
+func (t *table) share(name string) string {
+	if known, ok := t.names[name]; ok {
+		return known
+	}
+	t.names[name] = name
+	return name
+}
+
+func bucketOf(key messenger.Key) int { return int(key >> 56) }
+
+// toggle adds a present member to the digest or takes it out again.
+func (t *table) toggle(m *member) {
+	if !m.present() {
+		return
+	}
+	sum := m.holding().Sum()
+	t.buckets[bucketOf(m.key)] ^= sum
+	t.root ^= sum
+}
+
+// change is what a merge did to a member.
+type change struct {
+	content bool // the record itself changed
+	health  bool // its health changed
+}
+
+func (c change) any() bool { return c.content || c.health }
+
+// mergeRecord takes in a record and reports what changed.
+func (t *table) mergeRecord(record *messenger.Record, now time.Time) change {
+	key := messenger.KeyOf(record.Machine.Name)
+	m := t.members[key]
+	if m == nil {
+		if record.Stamp.Health > messenger.Suspect {
+			return change{}
+		}
+		m = &member{key: key, since: now, record: *record}
+		m.record.Machine.Zone = t.share(record.Machine.Zone)
+		m.record.Machine.Region = t.share(record.Machine.Region)
+		t.members[key] = m
+		t.toggle(m)
+		t.ring(m.record.Machine.Zone).insert(key)
+		return change{content: true, health: true}
+	}
+	stamp := m.record.Stamp
+	if !newer(record.Stamp, stamp) {
+		return change{}
+	}
+	t.toggle(m)
+	defer t.toggle(m)
+	var done change
+	if record.Stamp.Incarnation > stamp.Incarnation {
+		done = change{content: true, health: record.Stamp.Health != stamp.Health}
+		t.replace(m, record)
+		t.placed(m, stamp.Health, now)
+		return done
+	}
+	if record.Stamp.Sequence > stamp.Sequence {
+		health := stamp.Health
+		t.replace(m, record)
+		m.record.Stamp.Health = max(health, record.Stamp.Health)
+		done.content = true
+	}
+	if record.Stamp.Health > stamp.Health {
+		m.record.Stamp.Health = record.Stamp.Health
+		done.health = true
+	}
+	t.placed(m, stamp.Health, now)
+	return done
+}
+
+func (t *table) replace(m *member, record *messenger.Record) {
+	if m.record.Machine.Zone != record.Machine.Zone {
+		t.ring(m.record.Machine.Zone).remove(m.key)
+		if m.present() {
+			t.ring(record.Machine.Zone).insert(m.key)
+		}
+	}
+	m.record = *record
+	m.record.Machine.Zone = t.share(record.Machine.Zone)
+	m.record.Machine.Region = t.share(record.Machine.Region)
+}
+
+// mergeRumor takes in a change of health and reports whether it is news.
+func (t *table) mergeRumor(rumor messenger.Rumor, now time.Time) bool {
+	m := t.get(rumor.Name)
+	if m == nil || m.record.Stamp.Incarnation != rumor.Incarnation || m.record.Stamp.Health >= rumor.Health {
+		return false
+	}
+	t.toggle(m)
+	before := m.record.Stamp.Health
+	m.record.Stamp.Health = rumor.Health
+	t.toggle(m)
+	t.placed(m, before, now)
+	return true
+}
+
+// placed keeps the ring in step with a member's health.
+func (t *table) placed(m *member, before messenger.Health, now time.Time) {
+	if m.record.Stamp.Health == before {
+		return
+	}
+	m.since = now
+	if m.present() {
+		t.ring(m.record.Machine.Zone).insert(m.key)
+		return
+	}
+	m.record.Targets = nil
+	t.ring(m.record.Machine.Zone).remove(m.key)
+}
+
+// forget drops tombstones older than retention.
+func (t *table) forget(now time.Time, retention time.Duration) {
+	for key, m := range t.members {
+		if !m.present() && now.Sub(m.since) > retention {
+			delete(t.members, key)
+		}
+	}
+}
+
+func (t *table) ring(zone string) *ring {
+	r := t.rings[zone]
+	if r == nil {
+		r = &ring{}
+		t.rings[zone] = r
+	}
+	return r
+}
+
+// digest returns the buckets folded to 32 bits.
+func (t *table) digest() []uint32 {
+	folded := make([]uint32, bucketCount)
+	for i, sum := range t.buckets {
+		folded[i] = fold(sum)
+	}
+	return folded
+}
+
+func fold(sum uint64) uint32 { return uint32(sum) ^ uint32(sum>>32) }
+
+// inBuckets calls visit for each present member of the given buckets.
+func (t *table) inBuckets(buckets []int, visit func(*member)) {
+	wanted := make(map[int]bool, len(buckets))
+	for _, b := range buckets {
+		wanted[b] = true
+	}
+	for key, m := range t.members {
+		if m.present() && wanted[bucketOf(key)] {
+			visit(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/mesh/gossiper/view.go
@@ -0,0 +1,126 @@
+package gossiper
+
+import (
+	"maps"
+	"sort"
+	"time"
+
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/mesh/messenger"
+)
+
+const readersPerZone = 2
+
+// Revision rises with every change of membership.
+func (c *Core) Revision() uint64 { return c.revision }
+
+// Head returns the version in force.
+func (c *Core) Head() approver.Head { return c.versions.head }
+
+// Told returns the newest version that the node has heard of.
+func (c *Core) Told() uint64 { return c.versions.told }
+
+// Ready reports whether the node may carry traffic: it knows the mesh and holds a
+// whole version at least as new as any it was told of before it was first ready.
+func (c *Core) Ready() bool {
+	v := &c.versions
+	if !v.ready {
+		v.ready = c.syncer.joined && v.head.Version > 0 && v.head.Version >= v.told
+	}
+	return v.ready
+}
+
+// Members calls visit for each machine that is not gone.
+func (c *Core) Members(visit func(record *messenger.Record)) {
+	for _, m := range c.table.members {
+		if m.present() {
+			visit(&m.record)
+		}
+	}
+}
+
+// ReaderSlot returns which of the zone's reader leases this node may take, and
+// false if others come before it.
+func (c *Core) ReaderSlot() (int, bool) {
+	before := 0
+	for _, key := range c.zone().keys {
+		if key != c.self.key && c.usable(key) && above(key, c.self.key) {
+			before++
+		}
+	}
+	return before, before < readersPerZone
+}
+
+// LinkState describes one link in a dump.
+type LinkState struct {
+	Name    string    `json:"name"`
+	Inbound bool      `json:"inbound"`
+	Lazy    bool      `json:"lazy"`
+	Heard   time.Time `json:"heard"`
+	Version uint64    `json:"version"`
+	Waiting int       `json:"waiting"` // changes not yet sent
+}
+
+// State is the dump of a core.
+type State struct {
+	Machine messenger.Machine  `json:"machine"`
+	Stamp   messenger.Stamp    `json:"stamp"`
+	Targets []messenger.Target `json:"targets"`
+	Ready   bool               `json:"ready"`
+	Joined  bool               `json:"joined"`
+	Head    approver.Head      `json:"head"`
+	Told    uint64             `json:"told"`
+	Parent  string             `json:"parent"`
+	Nearest string             `json:"nearest"`
+	Leads   bool               `json:"leads"`
+	Links   []LinkState        `json:"links"`
+	Members []MemberState      `json:"members"`
+	Refused map[uint64]string  `json:"refused"`
+}
+
+// MemberState describes one machine in a dump.
+type MemberState struct {
+	Name   string          `json:"name"`
+	Zone   string          `json:"zone"`
+	Stamp  messenger.Stamp `json:"stamp"`
+	Health string          `json:"health"`
+	Since  time.Time       `json:"since"`
+}
+
+// Dump returns the whole state for inspection.
+func (c *Core) Dump() State {
+	state := State{
+		Machine: c.self.record.Machine,
+		Stamp:   c.self.record.Stamp,
+		Targets: c.self.record.Targets,
+		Ready:   c.Ready(),
+		Joined:  c.syncer.joined,
+		Head:    c.versions.head,
+		Told:    c.versions.told,
+		Parent:  c.planner.parent,
+		Nearest: c.planner.nearest,
+		Leads:   c.leads(),
+		Refused: maps.Clone(c.versions.refused),
+	}
+	for _, name := range c.linkNames() {
+		l := c.links[name]
+		state.Links = append(state.Links, LinkState{
+			Name: name, Inbound: l.inbound, Lazy: l.lazy, Heard: l.heard, Version: l.version, Waiting: len(l.dirty),
+		})
+	}
+	for _, m := range c.table.members {
+		state.Members = append(state.Members, MemberState{
+			Name:   m.record.Machine.Name,
+			Zone:   m.record.Machine.Zone,
+			Stamp:  m.record.Stamp,
+			Health: m.record.Stamp.Health.String(),
+			Since:  m.since,
+		})
+	}
+	sortMembers(state.Members)
+	return state
+}
+
+func sortMembers(members []MemberState) {
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+}
--- /dev/null
+++ b/internal/node/counter/counter.go
@@ -0,0 +1,82 @@
+// Package counter keeps a process's metrics and serves them as Prometheus text.
+package counter
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	scopePrefix    = "clementinerock"
+	reportInterval = time.Second
+)
+
+// Counter counts events by name.
+type Counter struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+	totals   sync.Map // name to *total
+}
+
+type total struct {
+	metric tally.Counter
+	count  atomic.Int64
+}
+
+// New returns an empty counter. The clean-up function ends its reporting.
+func New() (*Counter, func()) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 scopePrefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Counter{scope: scope, reporter: reporter}, func() { _ = closer.Close() }
+}
+
+// Count adds one to the counter of a name.
+func (c *Counter) Count(name string) { c.Add(name, 1) }
+
+// Add adds n to the counter of a name.
+func (c *Counter) Add(name string, n int64) {
+	known, ok := c.totals.Load(name)
+	if !ok {
+		known, _ = c.totals.LoadOrStore(name, &total{metric: c.scope.Counter(name)})
+	}
+	t := known.(*total)
+	t.count.Add(n)
+	t.metric.Inc(n)
+}
+
+// Gauge sets the gauge of a name.
+func (c *Counter) Gauge(name string, value float64) { c.scope.Gauge(name).Update(value) }
+
+// Total returns the count of a name.
+func (c *Counter) Total(name string) int64 {
+	if known, ok := c.totals.Load(name); ok {
+		return known.(*total).count.Load()
+	}
+	return 0
+}
+
+// Snapshot returns all counts by name.
+func (c *Counter) Snapshot() map[string]int64 {
+	snapshot := make(map[string]int64)
+	c.totals.Range(func(name, t any) bool {
+		snapshot[name.(string)] = t.(*total).count.Load()
+		return true
+	})
+	return snapshot
+}
+
+// Handler serves the metrics as text.
+func (c *Counter) Handler() http.Handler { return c.reporter.HTTPHandler() }
--- /dev/null
+++ b/internal/node/loader/settings.go
@@ -0,0 +1,191 @@
+// Package loader reads and checks the settings of a node.
+package loader
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"clementinerock/internal/call/limiter"
+	"clementinerock/internal/call/picker"
+	"clementinerock/internal/config/parser"
+	"clementinerock/internal/mesh/messenger"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/zap/zapcore"
+)
+
+// Settings are a node's settings as written in TOML.
+type Settings struct {
+	Name   string `toml:"name"`
+	Zone   string `toml:"zone"`
+	Region string `toml:"region"`
+	Listen Listen `toml:"listen"`
+	Store  Store  `toml:"store"`
+	Keys   Keys   `toml:"keys"`
+	Peers  Peers  `toml:"peers"`
+	Calls  Calls  `toml:"calls"`
+	Log    Log    `toml:"log"`
+
+	File string `toml:"-"`
+}
+
+// Listen holds the addresses that the node listens on, as IP:port.
+type Listen struct {
+	Control string `toml:"control"` // UDP, links to other nodes
+	Peer    string `toml:"peer"`    // TCP, calls from other nodes
+	Calls   string `toml:"calls"`   // TCP, callers
+	Admin   string `toml:"admin"`   // TCP, targets and operators
+}
+
+// Store says where the platform's store is.
+type Store struct {
+	Address string `toml:"address"`
+}
+
+// Keys names the PEM files of the node's identity.
+type Keys struct {
+	Authority   string `toml:"authority"`
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+}
+
+// Peers lists control addresses to join through before the store is asked.
+type Peers struct {
+	Addresses []string `toml:"addresses"`
+}
+
+// Calls chooses the policies of the call path.
+type Calls struct {
+	Pick  string `toml:"pick"`
+	Limit string `toml:"limit"`
+	Hedge *bool  `toml:"hedge"`
+}
+
+// Log sets what is logged.
+type Log struct {
+	Level string `toml:"level"`
+}
+
+// Hedging reports whether hedges are on; they are by default.
+func (c Calls) Hedging() bool { return c.Hedge == nil || *c.Hedge }
+
+// Machine returns the fixed part of the node's record.
+func (s *Settings) Machine() messenger.Machine {
+	return messenger.Machine{
+		Name:    s.Name,
+		Zone:    s.Zone,
+		Region:  s.Region,
+		Control: s.Listen.Control,
+		Peer:    s.Listen.Peer,
+	}
+}
+
+// ReadFile reads and checks the settings in a file.
+func ReadFile(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, merry.Prepend(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads and checks settings. All faults are returned together.
+func Parse(file string, data []byte) (Settings, error) {
+	settings := Settings{File: file}
+	decoder := toml.NewDecoder(strings.NewReader(string(data)))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return settings, parser.DecodeFault(file, err)
+	}
+	return settings, errors.Join(settings.Check()...)
+}
+
+// Check returns every fault of the settings.
+func (s *Settings) Check() []error {
+	c := checker{file: s.File}
+	c.name("name", s.Name)
+	c.name("zone", s.Zone)
+	c.name("region", s.Region)
+	c.address("listen.control", s.Listen.Control)
+	c.address("listen.peer", s.Listen.Peer)
+	c.address("listen.calls", s.Listen.Calls)
+	c.address("listen.admin", s.Listen.Admin)
+	c.clash(s.Listen)
+	c.address("store.address", s.Store.Address)
+	c.pemFile("keys.authority", s.Keys.Authority)
+	c.pemFile("keys.certificate", s.Keys.Certificate)
+	c.pemFile("keys.key", s.Keys.Key)
+	for i, address := range s.Peers.Addresses {
+		c.address(fmt.Sprintf("peers.addresses[%d]", i), address)
+	}
+	c.oneOf("calls.pick", s.Calls.Pick, picker.PolicyBalanced, picker.PolicyRoundRobin, picker.PolicyRandom, picker.PolicyLeast)
+	c.oneOf("calls.limit", s.Calls.Limit, limiter.PolicyPriority, limiter.PolicyFIFO, limiter.PolicyUnlimited)
+	if _, err := zapcore.ParseLevel(s.Log.Level); s.Log.Level != "" && err != nil {
+		c.fault("log.level", s.Log.Level, "debug, info, warn or error")
+	}
+	return c.faults
+}
+
+type checker struct {
+	file   string
+	faults []error
+}
+
+func (c *checker) fault(field, found, allowed string) {
+	c.faults = append(c.faults, parser.Fault{File: c.file, Field: field, Found: strconv.Quote(found), Allowed: allowed})
+}
+
+func (c *checker) name(field, value string) {
+	if !parser.ValidName(value) {
+		c.fault(field, value, "lower-case letters, digits and hyphens, starting with a letter, at most 63")
+	}
+}
+
+func (c *checker) address(field, value string) {
+	host, port, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.fault(field, value, "an IP address with a port, such as 10.0.0.5:7000")
+		return
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		c.fault(field, value, "a port from 1 to 65535")
+	}
+}
+
+func (c *checker) pemFile(field, value string) {
+	if value == "" {
+		c.fault(field, value, "the name of a PEM file")
+		return
+	}
+	if _, err := os.Stat(value); err != nil {
+		c.fault(field, value, "a PEM file that can be read")
+	}
+}
+
+func (c *checker) oneOf(field, value string, allowed ...string) {
+	if value != "" && !slices.Contains(allowed, value) {
+		c.fault(field, value, strings.Join(allowed, ", "))
+	}
+}
+
+// clash reports TCP addresses that are used twice.
+func (c *checker) clash(listen Listen) {
+	fields := []struct{ name, address string }{
+		{"listen.peer", listen.Peer},
+		{"listen.calls", listen.Calls},
+		{"listen.admin", listen.Admin},
+	}
+	used := make(map[string]string)
+	for _, field := range fields {
+		if other, taken := used[field.address]; taken && field.address != "" {
+			c.fault(field.name, field.address, "an address that "+other+" does not use")
+		}
+		used[field.address] = field.name
+	}
+}
--- /dev/null
+++ b/internal/node/runner/control.go
@@ -0,0 +1,234 @@
+package runner
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"clementinerock/internal/call/router"
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/config/indexer"
+	"clementinerock/internal/mesh/gossiper"
+	"clementinerock/internal/mesh/linker"
+	"clementinerock/internal/mesh/messenger"
+
+	"go.uber.org/zap"
+)
+
+const (
+	tickInterval  = 100 * time.Millisecond
+	eventQueue    = 4096
+	viewInterval  = 250 * time.Millisecond // between views made for changes of membership
+	announceLimit = 15 * time.Second       // a target that is silent for longer is gone
+)
+
+// event is a message to the control loop.
+type event interface{}
+
+type (
+	linkUp struct {
+		machine messenger.Machine
+		inbound bool
+	}
+	linkDown struct {
+		name    string
+		planned bool
+	}
+	dialFailed struct{ name string }
+	probed     struct {
+		name  string
+		alive bool
+	}
+	received struct {
+		from    string
+		message messenger.Message
+	}
+	learned struct {
+		head  approver.Head
+		index indexer.Index
+	}
+	announced struct{ target messenger.Target }
+	withdrawn struct{ address string }
+	leaving   struct{ done chan<- struct{} }
+	query     struct {
+		read func(*control)
+		done chan<- struct{}
+	}
+)
+
+// localTarget is a target beside this node with the time of its last announcement.
+type localTarget struct {
+	target messenger.Target
+	heard  time.Time
+}
+
+// control is the state of the control loop. One goroutine owns it.
+type control struct {
+	node     *Node
+	core     *gossiper.Core
+	links    *linker.Linker
+	log      *zap.Logger
+	targets  map[string]localTarget // by address
+	draining bool
+	built    uint64 // revision of the membership in the view
+	builtAt  time.Time
+	ready    bool
+}
+
+func newControl(n *Node, machine messenger.Machine, config gossiper.Config, seed uint64, now time.Time) *control {
+	rng := rand.New(rand.NewPCG(seed, uint64(messenger.KeyOf(machine.Name))))
+	return &control{
+		node:    n,
+		core:    gossiper.New(machine, config, rng, now),
+		log:     n.log,
+		targets: make(map[string]localTarget),
+	}
+}
+
+// run handles events until stop is closed.
+func (c *control) run(events <-chan event, stop <-chan struct{}) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case e := <-events:
+			c.perform(c.handle(time.Now(), e))
+		case now := <-ticker.C:
+			c.expireTargets(now)
+			c.perform(c.core.Tick(now))
+			c.refreshView(now)
+		}
+	}
+}
+
+func (c *control) handle(now time.Time, e event) []gossiper.Effect {
+	switch e := e.(type) {
+	case linkUp:
+		return c.core.LinkUp(now, e.machine, e.inbound)
+	case linkDown:
+		return c.core.LinkDown(now, e.name, e.planned)
+	case dialFailed:
+		return c.core.DialFailed(now, e.name)
+	case probed:
+		return c.core.Probed(now, e.name, e.alive)
+	case received:
+		return c.core.Receive(now, e.from, &e.message)
+	case learned:
+		return c.core.Learn(now, e.head, e.index)
+	case announced:
+		return c.announce(now, e.target)
+	case withdrawn:
+		return c.withdraw(now, e.address)
+	case leaving:
+		effects := c.leave(now)
+		c.perform(effects)
+		close(e.done)
+		return nil
+	case query:
+		e.read(c)
+		close(e.done)
+		return nil
+	}
+	panic("unknown event")
+}
+
+func (c *control) perform(effects []gossiper.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case gossiper.Send:
+			if err := c.links.Send(effect.To, &effect.Message); err != nil {
+				c.log.Error("control: message not sent", zap.String("to", effect.To), zap.Error(err))
+			}
+		case gossiper.Dial:
+			c.links.Dial(effect.Machine)
+		case gossiper.Close:
+			c.links.Close(effect.Name)
+		case gossiper.Probe:
+			c.links.Probe(effect.Machine)
+		case gossiper.Seek:
+			c.node.seek()
+		case gossiper.Activate:
+			c.activate(effect)
+		case gossiper.Refuse:
+			c.log.Error("control: version refused", zap.Uint64("version", effect.Head.Version), zap.String("reason", effect.Reason))
+			c.node.metrics.Count("versions_refused")
+		}
+	}
+}
+
+// activate swaps the view in one step.
+func (c *control) activate(version gossiper.Activate) {
+	c.node.current.Store(&heldVersion{head: version.Head, index: version.Index})
+	c.node.table.Store(router.New(version.Contracts))
+	c.log.Info("control: version in force", zap.Uint64("version", version.Head.Version), zap.String("root", version.Head.Root.Short()))
+	c.node.metrics.Count("versions_activated")
+	c.buildView(time.Now())
+}
+
+func (c *control) refreshView(now time.Time) {
+	if ready := c.core.Ready(); ready != c.ready {
+		c.log.Info("control: node is ready", zap.Uint64("version", c.core.Head().Version))
+		c.ready = ready
+		c.buildView(now)
+		return
+	}
+	if c.core.Revision() != c.built && now.Sub(c.builtAt) >= viewInterval {
+		c.buildView(now)
+	}
+	slot, eligible := c.core.ReaderSlot()
+	c.node.slot.Store(&readerSlot{slot: slot, eligible: eligible})
+}
+
+func (c *control) announce(now time.Time, target messenger.Target) []gossiper.Effect {
+	known, ok := c.targets[target.Address]
+	target.Since = now.UnixMilli()
+	if ok && known.target.State == target.State {
+		target.Since = known.target.Since
+	}
+	c.targets[target.Address] = localTarget{target: target, heard: now}
+	if ok && known.target == target {
+		return nil
+	}
+	c.log.Info("control: target announced", zap.String("service", target.Service), zap.String("address", target.Address), zap.String("state", string(target.State)))
+	return c.publishTargets(now)
+}
+
+func (c *control) withdraw(now time.Time, address string) []gossiper.Effect {
+	if _, ok := c.targets[address]; !ok {
+		return nil
+	}
+	delete(c.targets, address)
+	c.log.Info("control: target gone", zap.String("address", address))
+	return c.publishTargets(now)
+}
+
+func (c *control) expireTargets(now time.Time) {
+	for address, t := range c.targets {
+		if now.Sub(t.heard) > announceLimit {
+			c.perform(c.withdraw(now, address))
+		}
+	}
+}
+
+func (c *control) publishTargets(now time.Time) []gossiper.Effect {
+	var targets []messenger.Target
+	for _, address := range sortedAddresses(c.targets) {
+		target := c.targets[address].target
+		if c.draining {
+			target.State = messenger.Draining
+		}
+		targets = append(targets, target)
+	}
+	c.node.back.SetTargets(targets)
+	return c.core.Announce(now, targets)
+}
+
+// leave marks every target as draining and keeps serving what is in flight.
+func (c *control) leave(now time.Time) []gossiper.Effect {
+	c.draining = true
+	effects := c.publishTargets(now)
+	effects = append(effects, c.core.Tick(now)...)
+	c.buildView(now)
+	return effects
+}
--- /dev/null
+++ b/internal/node/runner/node.go
@@ -0,0 +1,427 @@
+// Package runner assembles a node: its control loop, links, call path and admin
+// interface.
+package runner
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"clementinerock/internal/call/forwarder"
+	"clementinerock/internal/call/picker"
+	"clementinerock/internal/call/router"
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/config/compiler"
+	"clementinerock/internal/config/indexer"
+	"clementinerock/internal/mesh/gossiper"
+	"clementinerock/internal/mesh/linker"
+	"clementinerock/internal/mesh/messenger"
+	"clementinerock/internal/mesh/reader"
+	"clementinerock/internal/mesh/signer"
+	"clementinerock/internal/node/counter"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+const (
+	callProtocol   = "http/1.1"
+	serverIdle     = time.Minute
+	maxRequestBody = 4 << 20
+	seekTimeout    = 3 * time.Second
+	settleTime     = 2 * time.Second // a leaving node serves on for this long
+	drainTimeout   = 30 * time.Second
+	drainPoll      = 20 * time.Millisecond
+)
+
+// Config is what a node is made of.
+type Config struct {
+	Machine  messenger.Machine
+	Calls    string // address for callers
+	Identity signer.Identity
+	Store    reader.Store
+	Peers    []string // control addresses tried before the store
+	Gossip   gossiper.Config
+	Pick     picker.Policy
+	Limit    string
+	Hedging  bool
+	Log      *zap.Logger
+	Seed     uint64            // of the random choices; 0 takes one from the clock
+	Dial     fasthttp.DialFunc // connects to other nodes; nil means TCP
+}
+
+type heldVersion struct {
+	head  approver.Head
+	index indexer.Index
+}
+
+type readerSlot struct {
+	slot     int
+	eligible bool
+}
+
+// Node is one running node.
+type Node struct {
+	machine messenger.Machine
+	store   reader.Store
+	peers   []string
+	log     *zap.Logger
+	metrics *counter.Counter
+	front   *forwarder.Front
+	back    *forwarder.Back
+	book    picker.Book
+	links   *linker.Linker
+	reader  *reader.Reader
+	events  chan event
+	stop    chan struct{}
+	current atomic.Pointer[heldVersion]
+	table   atomic.Pointer[router.Table]
+	slot    atomic.Pointer[readerSlot]
+	seeking atomic.Bool
+	leaving atomic.Bool
+	calls   string
+
+	ctx   context.Context
+	tasks conc.WaitGroup
+}
+
+// New starts a node. The clean-up function stops it at once; call Leave first for
+// a planned stop.
+func New(config Config) (*Node, func(), error) {
+	n := &Node{
+		machine: config.Machine,
+		store:   config.Store,
+		peers:   config.Peers,
+		log:     config.Log.With(zap.String("node", config.Machine.Name)),
+		events:  make(chan event, eventQueue),
+		stop:    make(chan struct{}),
+	}
+	metrics, closeMetrics := counter.New()
+	n.metrics = metrics
+	n.current.Store(&heldVersion{})
+	n.table.Store(router.New(nil))
+	n.slot.Store(&readerSlot{})
+	n.back = forwarder.NewBack(config.Limit, n.metrics)
+	n.front = forwarder.NewFront(config.Pick, n.back, config.Dial, config.Identity.Client(callProtocol, ""), n.metrics)
+	n.front.Hedging = config.Hedging
+	ctx, cancel := context.WithCancel(context.Background())
+	n.ctx = ctx
+	cleanups := []func(){closeMetrics, cancel}
+	cleanup := func() {
+		for i := len(cleanups) - 1; i >= 0; i-- {
+			cleanups[i]()
+		}
+	}
+	stopServers, err := n.serve(config)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	cleanups = append(cleanups, stopServers)
+	now := time.Now()
+	incarnation := uint64(now.UnixMilli())
+	links, closeLinks, err := linker.New(n.machine, incarnation, config.Identity, n)
+	if err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	n.links = links
+	n.machine.Control = links.Address()
+	seed := config.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	control := newControl(n, n.machine, config.Gossip, seed, now)
+	control.links = links
+	n.tasks.Go(func() { control.run(n.events, n.stop) })
+	cleanups = append(cleanups, func() {
+		close(n.stop)
+		n.tasks.Wait()
+	}, closeLinks)
+	r, stopReader := reader.New(config.Store, n, n.machine, n.log)
+	n.reader = r
+	cleanups = append(cleanups, stopReader)
+	return n, cleanup, nil
+}
+
+// serve opens the listeners of the call path.
+func (n *Node) serve(config Config) (func(), error) {
+	peers, err := net.Listen("tcp", config.Machine.Peer)
+	if err != nil {
+		return nil, merry.Prependf(err, "listen on peer address %s", config.Machine.Peer)
+	}
+	callers, err := net.Listen("tcp", config.Calls)
+	if err != nil {
+		_ = peers.Close()
+		return nil, merry.Prependf(err, "listen on calls address %s", config.Calls)
+	}
+	n.machine.Peer = peers.Addr().String()
+	n.calls = callers.Addr().String()
+	secure := tls.NewListener(peers, config.Identity.Server(callProtocol))
+	backServer := newServer(n.back.Handle)
+	frontServer := newServer(n.front.Handle)
+	var serving conc.WaitGroup
+	serving.Go(func() { _ = backServer.Serve(secure) })
+	serving.Go(func() { _ = frontServer.Serve(callers) })
+	return func() {
+		shutdown(frontServer)
+		shutdown(backServer)
+		serving.Wait()
+	}, nil
+}
+
+func newServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               handler,
+		IdleTimeout:           serverIdle,
+		MaxRequestBodySize:    maxRequestBody,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		Logger:                silent{},
+	}
+}
+
+// silent drops the HTTP library's own log lines about broken connections.
+type silent struct{}
+
+// Printf does nothing.
+func (silent) Printf(string, ...any) {}
+
+func shutdown(server *fasthttp.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = server.ShutdownWithContext(ctx)
+}
+
+// post hands an event to the control loop unless the node is stopping.
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	case <-n.stop:
+	}
+}
+
+// ask runs read on the control loop and waits for it.
+func (n *Node) ask(read func(*control)) {
+	done := make(chan struct{})
+	n.post(query{read: read, done: done})
+	select {
+	case <-done:
+	case <-n.stop:
+	}
+}
+
+// LinkUp implements linker.Events.
+func (n *Node) LinkUp(machine messenger.Machine, inbound bool) {
+	n.post(linkUp{machine: machine, inbound: inbound})
+}
+
+// LinkDown implements linker.Events.
+func (n *Node) LinkDown(name string, planned bool) { n.post(linkDown{name: name, planned: planned}) }
+
+// DialFailed implements linker.Events.
+func (n *Node) DialFailed(name string) { n.post(dialFailed{name: name}) }
+
+// Probed implements linker.Events.
+func (n *Node) Probed(name string, alive bool) { n.post(probed{name: name, alive: alive}) }
+
+// Received implements linker.Events.
+func (n *Node) Received(from string, message messenger.Message) {
+	n.post(received{from: from, message: message})
+}
+
+// Learn implements reader.Node.
+func (n *Node) Learn(head approver.Head, index indexer.Index) {
+	n.post(learned{head: head, index: index})
+}
+
+// Current implements reader.Node.
+func (n *Node) Current() (approver.Head, indexer.Index) {
+	held := n.current.Load()
+	return held.head, held.index
+}
+
+// ReaderSlot implements reader.Node.
+func (n *Node) ReaderSlot() (slot int, eligible bool) {
+	s := n.slot.Load()
+	return s.slot, s.eligible
+}
+
+// seek dials the peers in the settings and, if there are none to try, those that
+// the store names.
+func (n *Node) seek() {
+	if !n.seeking.CompareAndSwap(false, true) {
+		return
+	}
+	n.tasks.Go(func() {
+		defer n.seeking.Store(false)
+		for _, address := range n.peers {
+			if address != n.machine.Control {
+				n.links.DialAddress(address)
+			}
+		}
+		if len(n.peers) > 0 && !sleepOrDone(n.ctx, seekTimeout) {
+			return
+		}
+		if n.linked() {
+			return
+		}
+		n.seekStore()
+	})
+}
+
+func (n *Node) linked() bool {
+	linked := false
+	n.ask(func(c *control) { linked = len(c.core.Dump().Links) > 0 })
+	return linked
+}
+
+func (n *Node) seekStore() {
+	ctx, cancel := context.WithTimeout(n.ctx, seekTimeout)
+	defer cancel()
+	addresses, err := reader.Seeds(ctx, n.store, n.machine.Name)
+	if err != nil {
+		n.log.Warn("control: seeds not read", zap.Error(err))
+		return
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(len(addresses), seedDials)] {
+		n.links.DialAddress(address)
+	}
+}
+
+const seedDials = 3 // seeds dialed at once
+
+func sleepOrDone(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// Announce takes in what a target says of itself.
+func (n *Node) Announce(target messenger.Target) { n.post(announced{target: target}) }
+
+// Withdraw takes a target out.
+func (n *Node) Withdraw(address string) { n.post(withdrawn{address: address}) }
+
+// Status returns the convergence of the mesh as this node knows it.
+func (n *Node) Status() gossiper.Status {
+	var status gossiper.Status
+	n.ask(func(c *control) { status = c.core.Status() })
+	return status
+}
+
+// CallAddress returns the address for callers.
+func (n *Node) CallAddress() string { return n.calls }
+
+// Machine returns the node's machine with the addresses in use.
+func (n *Node) Machine() messenger.Machine { return n.machine }
+
+// Front returns the callers' side.
+func (n *Node) Front() *forwarder.Front { return n.front }
+
+// Traffic returns the bytes of control traffic sent and received.
+func (n *Node) Traffic() (sent, received uint64) { return n.links.Traffic() }
+
+// Ready reports whether the node carries traffic.
+func (n *Node) Ready() bool { return n.front.View().Ready }
+
+// Metrics returns the node's counters.
+func (n *Node) Metrics() *counter.Counter { return n.metrics }
+
+// ErrDrain is returned when calls were still open at the end of a planned stop.
+var ErrDrain = merry.Sentinel("calls were still open when the drain ended")
+
+// Leave drains the node: no new calls for its targets, those in flight end.
+func (n *Node) Leave() error {
+	if !n.leaving.CompareAndSwap(false, true) {
+		return nil
+	}
+	n.log.Info("control: node is leaving")
+	done := make(chan struct{})
+	n.post(leaving{done: done})
+	<-done
+	time.Sleep(settleTime)
+	n.back.Drain()
+	deadline := time.Now().Add(drainTimeout)
+	for n.front.Open() > 0 || n.back.Open() > 0 {
+		if time.Now().After(deadline) {
+			return ErrDrain
+		}
+		time.Sleep(drainPoll)
+	}
+	n.ask(func(c *control) { c.perform(c.core.Leave(time.Now())) })
+	return nil
+}
+
+// State is the dump of a node's process.
+type State struct {
+	Control  gossiper.State   `json:"control"`
+	Status   gossiper.Status  `json:"status"`
+	Reader   bool             `json:"reader"`
+	Routes   int              `json:"routes"`
+	Targets  []TargetState    `json:"targets"`
+	Attempts int              `json:"attemptsRemembered"`
+	OpenHere int              `json:"callsOpen"`
+	Sent     uint64           `json:"controlBytesSent"`
+	Received uint64           `json:"controlBytesReceived"`
+	Counts   map[string]int64 `json:"counts"`
+}
+
+// TargetState is what the callers' side knows of a target.
+type TargetState struct {
+	Service  string        `json:"service"`
+	Node     string        `json:"node"`
+	Address  string        `json:"address"`
+	InFlight int           `json:"inFlight"`
+	Latency  time.Duration `json:"latencyNs"`
+	Load     float64       `json:"load"`
+	Ejected  bool          `json:"ejected"`
+}
+
+// Dump returns the state of the whole process.
+func (n *Node) Dump() State {
+	var state State
+	n.ask(func(c *control) {
+		state.Control = c.core.Dump()
+		state.Status = c.core.Status()
+	})
+	state.Reader = n.reader.Holding()
+	view := n.front.View()
+	now := time.Now()
+	for _, targets := range view.Targets {
+		for _, t := range targets {
+			state.Targets = append(state.Targets, TargetState{
+				Service: t.Service, Node: t.Node, Address: t.Listen,
+				InFlight: t.InFlight(), Latency: t.Latency(now), Load: t.Load(now), Ejected: t.Ejected(now),
+			})
+		}
+	}
+	for _, contract := range n.contracts() {
+		state.Routes += len(contract.Routes)
+	}
+	state.Attempts = n.back.Attempts()
+	state.OpenHere = n.front.Open()
+	state.Sent, state.Received = n.Traffic()
+	state.Counts = n.metrics.Snapshot()
+	return state
+}
+
+func (n *Node) contracts() []compiler.Contract {
+	contracts, err := approver.Contracts(n.current.Load().index)
+	if err != nil {
+		return nil
+	}
+	return contracts
+}
--- /dev/null
+++ b/internal/store/server/server.go
@@ -0,0 +1,182 @@
+// Package server offers a keeper over HTTP, as the stand-in of the platform's
+// store that runs as a process of its own.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"clementinerock/internal/store/keeper"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gofiber/fiber/v3"
+)
+
+// Paths of the protocol. Every call is a POST with a JSON Request and Response.
+const (
+	PathGet    = "/v1/get"
+	PathList   = "/v1/list"
+	PathSwap   = "/v1/swap"
+	PathLease  = "/v1/lease"
+	PathWatch  = "/v1/watch"
+	PathCounts = "/v1/counts"
+	PathFaults = "/v1/faults"
+)
+
+const (
+	watchLimit = 25 * time.Second // a watch without news is answered after this
+	bodyLimit  = 2 * keeper.MaxValueBytes
+)
+
+// Code names an outcome in a Response.
+type Code string
+
+// Codes of a Response.
+const (
+	CodeOK       Code = ""
+	CodeMissing  Code = "missing"
+	CodeConflict Code = "conflict"
+	CodeHeld     Code = "held"
+	CodeTooLarge Code = "too-large"
+	CodeDown     Code = "down"
+	CodeLost     Code = "lost"
+	CodeLimited  Code = "limited"
+	CodeNoNews   Code = "no-news"
+	CodeInvalid  Code = "invalid"
+)
+
+// Request holds the arguments of a call; each call uses some of them.
+type Request struct {
+	Key      string        `json:"key"`
+	Revision uint64        `json:"revision"`
+	Value    []byte        `json:"value"`
+	Holder   string        `json:"holder"`
+	TTL      time.Duration `json:"ttl"`
+	Faults   keeper.Faults `json:"faults"`
+}
+
+// Response holds the results of a call.
+type Response struct {
+	Code    Code           `json:"code"`
+	Message string         `json:"message,omitempty"`
+	Entry   keeper.Entry   `json:"entry"`
+	Entries []keeper.Entry `json:"entries,omitempty"`
+	Lease   keeper.Lease   `json:"lease"`
+	Counts  keeper.Counts  `json:"counts"`
+}
+
+var errorCodes = []struct {
+	err  error
+	code Code
+}{
+	{keeper.ErrMissing, CodeMissing},
+	{keeper.ErrConflict, CodeConflict},
+	{keeper.ErrHeld, CodeHeld},
+	{keeper.ErrTooLarge, CodeTooLarge},
+	{keeper.ErrDown, CodeDown},
+	{keeper.ErrLost, CodeLost},
+	{keeper.ErrLimited, CodeLimited},
+	{context.DeadlineExceeded, CodeNoNews},
+}
+
+// ErrorOf returns the error that a response stands for.
+func ErrorOf(response *Response) error {
+	if response.Code == CodeOK {
+		return nil
+	}
+	for _, known := range errorCodes {
+		if known.code == response.Code {
+			return merry.Wrap(known.err, merry.PrependMessage("store"))
+		}
+	}
+	return merry.Errorf("store: %s", response.Message)
+}
+
+func codeOf(err error) (Code, string) {
+	if err == nil {
+		return CodeOK, ""
+	}
+	for _, known := range errorCodes {
+		if errors.Is(err, known.err) {
+			return known.code, err.Error()
+		}
+	}
+	return CodeInvalid, err.Error()
+}
+
+// Server serves a keeper.
+type Server struct {
+	Keeper *keeper.Keeper
+
+	app     *fiber.App
+	address string
+}
+
+// New listens on address. The clean-up function stops the server.
+func New(store *keeper.Keeper, address string) (*Server, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, merry.Prependf(err, "listen on store address %s", address)
+	}
+	s := &Server{Keeper: store, address: listener.Addr().String()}
+	s.app = fiber.New(fiber.Config{BodyLimit: bodyLimit})
+	s.routes()
+	go func() {
+		_ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	}()
+	return s, func() { _ = s.app.ShutdownWithTimeout(time.Second) }, nil
+}
+
+// Address returns the address in use.
+func (s *Server) Address() string { return s.address }
+
+type handler func(ctx context.Context, request *Request, response *Response) error
+
+func (s *Server) routes() {
+	s.handle(PathGet, func(ctx context.Context, in *Request, out *Response) (err error) {
+		out.Entry, err = s.Keeper.Get(ctx, in.Key)
+		return err
+	})
+	s.handle(PathList, func(ctx context.Context, in *Request, out *Response) (err error) {
+		out.Entries, err = s.Keeper.List(ctx, in.Key)
+		return err
+	})
+	s.handle(PathSwap, func(ctx context.Context, in *Request, out *Response) (err error) {
+		out.Entry, err = s.Keeper.Swap(ctx, in.Key, in.Revision, in.Value)
+		return err
+	})
+	s.handle(PathLease, func(ctx context.Context, in *Request, out *Response) (err error) {
+		out.Lease, err = s.Keeper.Lease(ctx, in.Key, in.Holder, in.Value, in.TTL)
+		return err
+	})
+	s.handle(PathWatch, func(ctx context.Context, in *Request, out *Response) (err error) {
+		limited, cancel := context.WithTimeout(ctx, watchLimit)
+		defer cancel()
+		out.Entry, err = s.Keeper.Watch(limited, in.Key, in.Revision)
+		return err
+	})
+	s.handle(PathCounts, func(_ context.Context, _ *Request, out *Response) error {
+		out.Counts = s.Keeper.Counts()
+		return nil
+	})
+	s.handle(PathFaults, func(_ context.Context, in *Request, _ *Response) error {
+		s.Keeper.SetFaults(in.Faults)
+		return nil
+	})
+}
+
+func (s *Server) handle(path string, serve handler) {
+	s.app.Post(path, func(c fiber.Ctx) error {
+		var request Request
+		var response Response
+		if err := c.Bind().JSON(&request); err != nil {
+			response.Code, response.Message = CodeInvalid, err.Error()
+			return c.JSON(&response)
+		}
+		err := serve(c.Context(), &request, &response)
+		response.Code, response.Message = codeOf(err)
+		return c.JSON(&response)
+	})
+}
