Report convergence over a spanning tree and heal islands

Cause: the fake network of cores showed two faults behind '0 of 12': nodes that seeded only from each other never met the rest, and zone reports went over links that pruning had cut into parts. Change: the readers of a zone go on looking for unknown peers every 30 s; parent links and a circle of zone leaders are pinned and never turn lazy; pings carry a hash of the zone reports for repair. Ruled out: lost messages (the fake loses none).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+GOLANGCI_LINT_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+
+.PHONY: help build test lint format demo long measure-control measure-calls
+
+help: ## list the targets
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /: /'
+
+build: ## build the program
+	go build -o clementinerock .
+
+test: ## run the tests
+	go test ./...
+
+$(GOBIN)/golangci-lint:
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+lint: $(GOBIN)/golangci-lint ## check formatting and code
+	$(GOBIN)/golangci-lint run ./...
+
+format: $(GOBIN)/golangci-lint ## format the code
+	$(GOBIN)/golangci-lint fmt ./...
+
+demo: ## run both demos
+	go run . demo -mesh viti
+	go run . demo -mesh bellenblaas
+
+SEED ?= 0
+CHECKS ?= 2000
+
+long: ## run the randomised tests for long; SEED=N repeats a run, CHECKS=N sets its length
+	go test ./internal/mesh/gossiper ./internal/config/... ./internal/call/... -run Random -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -timeout 2h
+
+measure-control: ## measure convergence and control traffic
+	go run . measure control
+
+measure-calls: ## measure the call path against its baselines
+	go run . measure calls
--- a/internal/call/forwarder/back.go
+++ b/internal/call/forwarder/back.go
@@ -6,11 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"clementinerock/internal/call/deduper"
 	"clementinerock/internal/call/limiter"
 	"clementinerock/internal/mesh/messenger"
-
-	"github.com/valyala/fasthttp"
 )
 
 const longestWait = 10 * time.Minute
--- a/internal/call/forwarder/front.go
+++ b/internal/call/forwarder/front.go
@@ -9,13 +9,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"clementinerock/internal/call/limiter"
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/call/retrier"
 	"clementinerock/internal/call/router"
 	"clementinerock/internal/config/parser"
-
-	"github.com/valyala/fasthttp"
 )
 
 const (
--- a/internal/call/forwarder/hedge.go
+++ b/internal/call/forwarder/hedge.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"clementinerock/internal/call/picker"
-
 	"github.com/valyala/fasthttp"
+
+	"clementinerock/internal/call/picker"
 )
 
 // racer is one of several attempts of an idempotent call. It owns its request and
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -8,13 +8,17 @@
 	"time"
 )
 
+// Bounds of repeated attempts.
+const (
+	RetryShare    = 0.2  // of the calls may be retried
+	HedgeShare    = 0.04 // of the calls may be hedged
+	MaxAttempts   = 4    // of one call
+	MaxHedgeDepth = 1    // deepest level of a call chain that hedges
+)
+
 const (
 	milli            = 1000 // budget units per attempt
 	budgetBurst      = 10   // attempts that may be saved up
-	RetryShare       = 0.2  // RetryShare is the share of calls that may be retried.
-	HedgeShare       = 0.04 // HedgeShare is the share of calls that may be hedged.
-	MaxAttempts      = 4    // MaxAttempts bounds the attempts of one call.
-	MaxHedgeDepth    = 1    // MaxHedgeDepth is the deepest level of a call chain that hedges.
 	hedgeQuantile    = 0.95
 	quantileStep     = 0.02
 	startHedge       = 20 * time.Millisecond
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -9,11 +9,11 @@
 	"io"
 	"time"
 
-	"clementinerock/internal/store/caller"
-
 	"github.com/google/subcommands"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"clementinerock/internal/store/caller"
 )
 
 // Exit codes.
--- a/internal/cli/commander/demo.go
+++ b/internal/cli/commander/demo.go
@@ -4,9 +4,9 @@
 	"errors"
 	"flag"
 
-	"clementinerock/internal/demo/player"
-
 	"go.uber.org/zap"
+
+	"clementinerock/internal/demo/player"
 )
 
 var demoCommand = command{
--- a/internal/cli/commander/keys.go
+++ b/internal/cli/commander/keys.go
@@ -6,10 +6,10 @@
 	"path/filepath"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"clementinerock/internal/config/parser"
 	"clementinerock/internal/mesh/signer"
-
-	"github.com/ansel1/merry/v2"
 )
 
 const (
--- a/internal/cli/commander/node.go
+++ b/internal/cli/commander/node.go
@@ -6,15 +6,15 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/mesh/signer"
 	"clementinerock/internal/node/announcer"
 	"clementinerock/internal/node/loader"
 	"clementinerock/internal/node/runner"
 	"clementinerock/internal/store/caller"
-
-	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
 )
 
 var nodeCommand = command{
--- a/internal/cli/commander/status.go
+++ b/internal/cli/commander/status.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"clementinerock/internal/mesh/gossiper"
 	"clementinerock/internal/node/announcer"
-
-	"github.com/ansel1/merry/v2"
 )
 
 const (
--- a/internal/config/approver/approve.go
+++ b/internal/config/approver/approve.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/ansel1/merry/v2"
+
 	"clementinerock/internal/config/indexer"
 	"clementinerock/internal/store/keeper"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // Verdict says how an approval ended.
--- a/internal/config/approver/head.go
+++ b/internal/config/approver/head.go
@@ -9,11 +9,11 @@
 	"fmt"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"clementinerock/internal/config/compiler"
 	"clementinerock/internal/config/indexer"
 	"clementinerock/internal/store/keeper"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // HeadKey is the store key of the head.
--- a/internal/config/approver/proposal.go
+++ b/internal/config/approver/proposal.go
@@ -8,12 +8,12 @@
 	"errors"
 	"fmt"
 
+	"github.com/ansel1/merry/v2"
+
 	"clementinerock/internal/config/compiler"
 	"clementinerock/internal/config/indexer"
 	"clementinerock/internal/config/parser"
 	"clementinerock/internal/store/keeper"
-
-	"github.com/ansel1/merry/v2"
 )
 
 // State is the state of a proposal.
--- a/internal/config/compiler/contract.go
+++ b/internal/config/compiler/contract.go
@@ -6,10 +6,10 @@
 	"sort"
 	"time"
 
-	"clementinerock/internal/config/parser"
-
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"clementinerock/internal/config/parser"
 )
 
 // Contract is the compiled configuration of one service.
--- a/internal/demo/builder/builder.go
+++ b/internal/demo/builder/builder.go
@@ -12,6 +12,9 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
 	"clementinerock/examples"
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/config/approver"
@@ -24,9 +27,6 @@
 	"clementinerock/internal/node/announcer"
 	"clementinerock/internal/node/runner"
 	"clementinerock/internal/store/keeper"
-
-	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
 )
 
 // Service is the size of one service.
--- a/internal/demo/driver/driver.go
+++ b/internal/demo/driver/driver.go
@@ -9,11 +9,11 @@
 	"sync/atomic"
 	"time"
 
-	"clementinerock/internal/call/forwarder"
-	"clementinerock/internal/demo/responder"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
+
+	"clementinerock/internal/call/forwarder"
+	"clementinerock/internal/demo/responder"
 )
 
 const (
--- a/internal/demo/player/player.go
+++ b/internal/demo/player/player.go
@@ -9,13 +9,13 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
 	"clementinerock/internal/config/approver"
 	"clementinerock/internal/demo/builder"
 	"clementinerock/internal/demo/driver"
 	"clementinerock/internal/mesh/messenger"
-
-	"github.com/ansel1/merry/v2"
-	"go.uber.org/zap"
 )
 
 const (
--- a/internal/demo/responder/responder.go
+++ b/internal/demo/responder/responder.go
@@ -13,12 +13,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+
 	"clementinerock/internal/call/forwarder"
 	"clementinerock/internal/mesh/messenger"
 	"clementinerock/internal/node/announcer"
-
-	"github.com/ansel1/merry/v2"
-	"github.com/valyala/fasthttp"
 )
 
 // HeaderRequest identifies a caller's request; the target counts executions by it
--- a/internal/mesh/gossiper/core.go
+++ b/internal/mesh/gossiper/core.go
@@ -32,7 +32,7 @@
 // Probe tries a machine out of band; the result goes to Core.Probed.
 type Probe struct{ Machine messenger.Machine }
 
-// Seek asks for addresses of peers to join through.
+// Seek asks for a link to peers that are not known yet.
 type Seek struct{}
 
 // Activate puts a whole and checked version in force.
--- a/internal/mesh/gossiper/detector.go
+++ b/internal/mesh/gossiper/detector.go
@@ -48,7 +48,7 @@
 		}
 		l.pinged = c.now
 		l.awaiting = true
-		c.send(name, messenger.Message{Ping: &messenger.Ping{Version: c.versions.head.Version}})
+		c.sendPing(name, false)
 	}
 }
 
@@ -59,8 +59,19 @@
 	}
 	c.learnVersion(l, m.Ping.Version)
 	if !m.Ping.Pong {
-		c.send(l.name, messenger.Message{Ping: &messenger.Ping{Pong: true, Version: c.versions.head.Version}})
+		c.sendPing(l.name, true)
 	}
+	if m.Ping.Reports != c.reporter.sum {
+		c.sendReports(l.name)
+	}
+}
+
+func (c *Core) sendPing(to string, pong bool) {
+	c.send(to, messenger.Message{Ping: &messenger.Ping{
+		Pong:    pong,
+		Version: c.versions.head.Version,
+		Reports: c.reporter.sum,
+	}})
 }
 
 // detect verifies peers that left a ping unanswered, and accuses those whose
--- /dev/null
+++ b/internal/mesh/gossiper/network_test.go
@@ -0,0 +1,369 @@
+package gossiper
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/config/compiler"
+	"clementinerock/internal/config/indexer"
+	"clementinerock/internal/config/parser"
+	"clementinerock/internal/mesh/messenger"
+)
+
+// network is a small fake of the links between cores, with its own clock.
+type network struct {
+	now    time.Time
+	rng    *rand.Rand
+	config Config
+	cores  map[string]*Core
+	frozen map[string]bool
+	links  map[[2]string]int // generation of an open link, by ordered pair
+	parted func(a, b string) bool
+	queue  deliveries
+	serial int
+	force  map[string]approver.Head
+	forced int // versions put in force
+	sent   map[string]int
+	bytes  map[string]int
+	ticked time.Time
+}
+
+type delivery struct {
+	due    time.Time
+	serial int
+	run    func()
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	if d[i].due.Equal(d[j].due) {
+		return d[i].serial < d[j].serial
+	}
+	return d[i].due.Before(d[j].due)
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return last
+}
+
+const (
+	testLatency = 2 * time.Millisecond
+	testTick    = 100 * time.Millisecond
+	testIdle    = 30 * time.Second
+	testTimeout = time.Second
+)
+
+func newNetwork(seed uint64) *network {
+	start := time.UnixMilli(1_700_000_000_000)
+	return &network{
+		now:    start,
+		ticked: start,
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		cores:  make(map[string]*Core),
+		frozen: make(map[string]bool),
+		links:  make(map[[2]string]int),
+		parted: func(string, string) bool { return false },
+		force:  make(map[string]approver.Head),
+		sent:   make(map[string]int),
+		bytes:  make(map[string]int),
+	}
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+func (n *network) names() []string {
+	names := make([]string, 0, len(n.cores))
+	for name := range n.cores {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (n *network) after(delay time.Duration, run func()) {
+	n.serial++
+	heap.Push(&n.queue, delivery{due: n.now.Add(delay), serial: n.serial, run: run})
+}
+
+func (n *network) start(name, zone, region string) *Core {
+	machine := messenger.Machine{Name: name, Zone: zone, Region: region, Control: "c/" + name, Peer: "p/" + name}
+	core := New(machine, n.config, rand.New(rand.NewPCG(n.rng.Uint64(), 2)), n.now)
+	n.cores[name] = core
+	delete(n.force, name)
+	delete(n.frozen, name)
+	return core
+}
+
+// fill starts nodes spread over zones of one region each two zones.
+func (n *network) fill(count, zones int) {
+	for i := range count {
+		zone := i % zones
+		n.start(fmt.Sprintf("n%03d", i), fmt.Sprintf("z%d", zone), fmt.Sprintf("r%d", zone/2))
+	}
+}
+
+// kill ends a node without a word. Its peers notice when their links time out.
+func (n *network) kill(name string) {
+	delete(n.cores, name)
+	for link := range n.links {
+		if link[0] == name || link[1] == name {
+			n.timeOut(link, n.links[link])
+		}
+	}
+}
+
+func (n *network) timeOut(link [2]string, generation int) {
+	n.after(testIdle, func() {
+		if n.links[link] != generation {
+			return
+		}
+		delete(n.links, link)
+		n.down(link[0], link[1], false)
+		n.down(link[1], link[0], false)
+	})
+}
+
+func (n *network) down(at, peer string, planned bool) {
+	if core := n.cores[at]; core != nil {
+		n.perform(at, core.LinkDown(n.now, peer, planned))
+	}
+}
+
+func (n *network) perform(from string, effects []Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case Send:
+			n.deliver(from, effect)
+		case Dial:
+			n.dial(from, effect.Machine.Name)
+		case Close:
+			link := pair(from, effect.Name)
+			if n.links[link] != 0 {
+				delete(n.links, link)
+				n.after(testLatency, func() { n.down(effect.Name, from, true) })
+			}
+		case Probe:
+			n.probe(from, effect.Machine.Name)
+		case Seek:
+			n.seek(from)
+		case Activate:
+			n.activate(from, effect)
+		}
+	}
+}
+
+// seek dials a random node that the seeker does not know.
+func (n *network) seek(from string) {
+	var unknown []string
+	for _, name := range n.names() {
+		if !n.cores[from].Knows("c/" + name) {
+			unknown = append(unknown, name)
+		}
+	}
+	if len(unknown) > 0 {
+		n.dial(from, unknown[n.rng.IntN(len(unknown))])
+	}
+}
+
+// activate checks the promise that no node ever goes back.
+func (n *network) activate(name string, version Activate) {
+	if version.Head.Version <= n.force[name].Version {
+		panic(fmt.Sprintf("%s went from version %d to %d", name, n.force[name].Version, version.Head.Version))
+	}
+	if version.Index.Root() != version.Head.Root {
+		panic(fmt.Sprintf("%s has a part of version %d", name, version.Head.Version))
+	}
+	n.force[name] = version.Head
+	n.forced++
+}
+
+func (n *network) reaches(a, b string) bool {
+	return n.cores[a] != nil && n.cores[b] != nil && !n.parted(a, b)
+}
+
+func (n *network) deliver(from string, send Send) {
+	data, err := send.Message.Encode()
+	if err != nil {
+		panic(err)
+	}
+	n.sent[from]++
+	n.bytes[from] += len(data)
+	link := pair(from, send.To)
+	generation := n.links[link]
+	if generation == 0 {
+		return
+	}
+	n.after(testLatency, func() {
+		core := n.cores[send.To]
+		if n.links[link] != generation || !n.reaches(from, send.To) || n.frozen[send.To] {
+			return
+		}
+		message, err := messenger.Decode(data)
+		if err != nil {
+			panic(err)
+		}
+		n.perform(send.To, core.Receive(n.now, from, &message))
+	})
+}
+
+func (n *network) dial(from, to string) {
+	n.after(testLatency, func() {
+		if n.cores[from] == nil || n.links[pair(from, to)] != 0 {
+			return
+		}
+		if !n.reaches(from, to) || n.frozen[to] {
+			n.after(testTimeout, func() {
+				if core := n.cores[from]; core != nil {
+					n.perform(from, core.DialFailed(n.now, to))
+				}
+			})
+			return
+		}
+		n.serial++
+		n.links[pair(from, to)] = n.serial
+		n.perform(from, n.cores[from].LinkUp(n.now, n.cores[to].self.record.Machine, false))
+		n.perform(to, n.cores[to].LinkUp(n.now, n.cores[from].self.record.Machine, true))
+	})
+}
+
+func (n *network) probe(from, to string) {
+	alive := n.reaches(from, to) && !n.frozen[to]
+	delay := testLatency
+	if !alive {
+		delay = testTimeout
+	}
+	n.after(delay, func() {
+		if core := n.cores[from]; core != nil {
+			n.perform(from, core.Probed(n.now, to, alive))
+		}
+	})
+}
+
+// cut parts the network and lets the links across it time out.
+func (n *network) cut(parted func(a, b string) bool) {
+	n.parted = parted
+	for link, generation := range n.links {
+		if parted(link[0], link[1]) {
+			n.timeOut(link, generation)
+		}
+	}
+}
+
+func (n *network) heal() { n.parted = func(string, string) bool { return false } }
+
+// run advances the clock.
+func (n *network) run(duration time.Duration) {
+	end := n.now.Add(duration)
+	for n.now.Before(end) {
+		next := n.ticked.Add(testTick)
+		for len(n.queue) > 0 && !n.queue[0].due.After(next) {
+			d := heap.Pop(&n.queue).(delivery)
+			if d.due.After(n.now) {
+				n.now = d.due
+			}
+			d.run()
+		}
+		n.now = next
+		n.ticked = next
+		for _, name := range n.names() {
+			if !n.frozen[name] {
+				n.perform(name, n.cores[name].Tick(n.now))
+			}
+		}
+	}
+}
+
+// until runs until done holds and reports whether it did within the limit.
+func (n *network) until(limit time.Duration, done func() bool) bool {
+	end := n.now.Add(limit)
+	for n.now.Before(end) {
+		if done() {
+			return true
+		}
+		n.run(testTick)
+	}
+	return done()
+}
+
+// agreed reports whether every node knows exactly the nodes that run, alive.
+func (n *network) agreed() bool {
+	for _, core := range n.cores {
+		alive := 0
+		for _, m := range core.table.members {
+			if !m.present() {
+				continue
+			}
+			if !m.alive() || n.cores[m.record.Machine.Name] == nil {
+				return false
+			}
+			alive++
+		}
+		if alive != len(n.cores) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *network) inForce(version uint64) bool {
+	for name := range n.cores {
+		if n.force[name].Version < version {
+			return false
+		}
+	}
+	return true
+}
+
+// testVersion returns a version whose contracts depend on number.
+func testVersion(version uint64, services int, operation string) (approver.Head, indexer.Index) {
+	var items []indexer.Item
+	for i := range services {
+		contract := compiler.Contract{
+			Service: fmt.Sprintf("service-%d", i),
+			Owner:   "owner",
+			Zones:   []string{"z0"},
+			Slots:   6,
+			Routes: []compiler.Route{{
+				Operation: "show", Method: "GET", Path: fmt.Sprintf("/service-%d/*", i),
+				Effect: parser.EffectLookup, Work: parser.WorkShort, Timeout: time.Second,
+			}},
+		}
+		if uint64(i) == version%uint64(services) {
+			contract.Contact = fmt.Sprintf("%s-%d", operation, version)
+		}
+		items = append(items, indexer.Item{Name: contract.Service, Data: contract.Encode()})
+	}
+	index := indexer.New(items)
+	return approver.Head{Version: version, Root: index.Root(), Operation: operation}, index
+}
+
+func (n *network) learn(name string, version uint64, services int) {
+	head, index := testVersion(version, services, "op")
+	n.perform(name, n.cores[name].Learn(n.now, head, index))
+}
+
+func newFilled(t *testing.T, seed uint64, count, zones int) *network {
+	t.Helper()
+	n := newNetwork(seed)
+	n.fill(count, zones)
+	if !n.until(time.Minute, n.agreed) {
+		t.Fatalf("%d nodes did not find one another", count)
+	}
+	return n
+}
--- a/internal/mesh/gossiper/planner.go
+++ b/internal/mesh/gossiper/planner.go
@@ -20,6 +20,8 @@
 	minSeek      = 500 * time.Millisecond
 	maxSeek      = 15 * time.Second
 	dialDeadline = 3 * time.Second
+
+	islandInterval = 30 * time.Second // between a linked reader's searches for unknown peers
 )
 
 // link is an open connection to a peer.
@@ -48,6 +50,7 @@
 	monitored map[string]bool // ring successors whose failure this node detects
 	nearest   string          // next alive machine of the ring
 	parent    string
+	pinned    map[string]bool // links of the spanning tree, which never turn lazy
 	dialing   map[string]time.Time
 	retries   map[string]retry
 	avoided   map[string]time.Time
@@ -78,11 +81,17 @@
 	p.stale = true
 }
 
-// seek asks for seeds while the node has no links, with full jitter.
+// seek asks for seeds while the node has no links, with full jitter. The readers
+// of a zone go on asking at a low rate, so that parts of the mesh that started
+// apart find one another.
 func (c *Core) seek() {
 	p := &c.planner
 	if len(c.links) > 0 {
 		p.seekDelay = minSeek
+		if _, reads := c.ReaderSlot(); reads && c.now.Sub(p.sought) > islandInterval {
+			p.sought = c.now
+			c.emit(Seek{})
+		}
 		return
 	}
 	if c.now.Before(p.sought) {
@@ -111,6 +120,7 @@
 	p := &c.planner
 	p.wanted = make(map[string]bool)
 	p.monitored = make(map[string]bool)
+	p.pinned = make(map[string]bool)
 	p.nearest = ""
 	p.parent = ""
 	for name, at := range p.avoided {
@@ -126,7 +136,17 @@
 	c.planRing()
 	c.planParent()
 	c.planOutside()
-	c.reporter.setChildren(c.childNames())
+	c.planLeaders()
+	children := c.childNames()
+	for _, name := range children {
+		p.pinned[name] = true
+	}
+	for name := range p.pinned {
+		if l := c.links[name]; l != nil {
+			l.lazy = false
+		}
+	}
+	c.reporter.setChildren(children)
 }
 
 func (c *Core) planRing() {
@@ -156,6 +176,35 @@
 	name := c.table.members[parent].record.Machine.Name
 	c.planner.parent = name
 	c.planner.wanted[name] = true
+	c.planner.pinned[name] = true
+}
+
+// planLeaders links the leaders of the zones to a circle, in the order of the
+// zones' names. With the trees of the zones this connects the whole mesh.
+func (c *Core) planLeaders() {
+	if !c.leads() {
+		return
+	}
+	var leaders []string
+	own := 0
+	for _, zone := range sortedNames(c.table.rings) {
+		leader, ok := c.table.rings[zone].leader(c.usable)
+		if !ok {
+			continue
+		}
+		if leader == c.self.key {
+			own = len(leaders)
+		}
+		leaders = append(leaders, c.table.members[leader].record.Machine.Name)
+	}
+	count := len(leaders)
+	if count < 2 {
+		return
+	}
+	next := leaders[(own+1)%count]
+	c.planner.wanted[next] = true
+	c.planner.pinned[next] = true
+	c.planner.pinned[leaders[(own+count-1)%count]] = true
 }
 
 func (c *Core) childNames() []string {
--- a/internal/mesh/gossiper/reporter.go
+++ b/internal/mesh/gossiper/reporter.go
@@ -28,6 +28,7 @@
 	sentTo   string
 	sentAt   time.Time
 	zones    map[string]messenger.ZoneReport
+	sum      uint32 // hash of the zone reports, for repair
 	zoneAt   time.Time
 	fresh    map[string]bool // zone reports to be passed on
 	from     map[string]string
@@ -79,27 +80,49 @@
 		if zone.Sequence <= r.zones[zone.Zone].Sequence {
 			continue
 		}
-		r.zones[zone.Zone] = zone
-		r.fresh[zone.Zone] = true
-		r.from[zone.Zone] = l.name
+		r.setZone(zone, l.name)
+	}
+}
+
+// setZone takes in the newest report of a zone, to be passed on.
+func (r *reporter) setZone(report messenger.ZoneReport, source string) {
+	old := r.zones[report.Zone]
+	if old.Sequence > 0 {
+		r.sum ^= reportSum(old)
+	}
+	r.sum ^= reportSum(report)
+	r.zones[report.Zone] = report
+	r.fresh[report.Zone] = true
+	r.from[report.Zone] = source
+}
+
+func reportSum(report messenger.ZoneReport) uint32 {
+	stamp := messenger.Stamp{Incarnation: report.Sequence}
+	return fold(messenger.Holding{Key: messenger.KeyOf(report.Zone), Stamp: stamp}.Sum())
+}
+
+// sendReports repairs what a peer missed of the zone reports.
+func (c *Core) sendReports(to string) {
+	var zones []messenger.ZoneReport
+	for _, zone := range sortedNames(c.reporter.zones) {
+		zones = append(zones, c.reporter.zones[zone])
+	}
+	if len(zones) > 0 {
+		c.send(to, messenger.Message{Zones: zones})
 	}
 }
 
 // report sends this subtree's count to the parent, or as the zone's leader the
 // whole zone's to everyone.
 func (c *Core) report() {
-	r := &c.reporter
-	waiting := r.sent.Version == c.versions.told && r.sent.InForce < c.subtreeKnown()
 	if c.leads() {
-		c.reportZone(waiting)
+		c.reportZone()
 	} else {
 		c.reportUp()
 	}
 	c.passZones()
 }
 
-func (c *Core) subtreeKnown() int { return len(c.reporter.children) + 1 }
-
 func (c *Core) reportUp() {
 	r := &c.reporter
 	parent := c.planner.parent
@@ -171,10 +194,10 @@
 	return reasonFetch
 }
 
-func (c *Core) reportZone(waiting bool) {
+func (c *Core) reportZone() {
 	r := &c.reporter
 	repeat := c.now.Sub(r.zoneAt) > zoneRepeat
-	late := waiting && c.late() && c.now.Sub(r.zoneAt) > lateReport
+	late := c.late() && r.sent.InForce < c.zoneAlive() && c.now.Sub(r.zoneAt) > lateReport
 	if !r.stale && !repeat && !late {
 		return
 	}
@@ -190,15 +213,13 @@
 	r.sent = report
 	r.zoneAt = c.now
 	zone := c.self.record.Machine.Zone
-	r.zones[zone] = messenger.ZoneReport{
+	r.setZone(messenger.ZoneReport{
 		Zone:     zone,
 		Sequence: max(uint64(c.now.UnixMilli()), r.zones[zone].Sequence+1),
 		Version:  report.Version,
 		InForce:  report.InForce,
 		Laggards: report.Laggards,
-	}
-	r.fresh[zone] = true
-	r.from[zone] = ""
+	}, "")
 }
 
 func (c *Core) zoneAlive() int {
--- a/internal/mesh/gossiper/spreader.go
+++ b/internal/mesh/gossiper/spreader.go
@@ -167,7 +167,7 @@
 }
 
 func (c *Core) receiveSpread(l *link, m *messenger.Message) {
-	if m.Prune {
+	if m.Prune && !c.planner.pinned[l.name] {
 		l.lazy = true
 	}
 	news := c.absorb(l, m)
@@ -180,7 +180,7 @@
 
 // prune turns the link lazy on both sides.
 func (c *Core) prune(l *link) {
-	if l.lazy {
+	if l.lazy || c.planner.pinned[l.name] {
 		return
 	}
 	l.lazy = true
--- a/internal/mesh/gossiper/view.go
+++ b/internal/mesh/gossiper/view.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// Knows reports whether a machine that is not gone has the control address.
+func (c *Core) Knows(control string) bool {
+	for _, m := range c.table.members {
+		if m.present() && m.record.Machine.Control == control {
+			return true
+		}
+	}
+	return false
+}
+
+// Linked reports whether the node has any link.
+func (c *Core) Linked() bool { return len(c.links) > 0 }
+
 // ReaderSlot returns which of the zone's reader leases this node may take, and
 // false if others come before it.
 func (c *Core) ReaderSlot() (int, bool) {
--- a/internal/mesh/linker/link.go
+++ b/internal/mesh/linker/link.go
@@ -7,9 +7,9 @@
 	"syscall"
 	"time"
 
-	"clementinerock/internal/mesh/messenger"
-
 	"github.com/quic-go/quic-go"
+
+	"clementinerock/internal/mesh/messenger"
 )
 
 // link is one connection with its single stream.
--- a/internal/mesh/linker/linker.go
+++ b/internal/mesh/linker/linker.go
@@ -10,12 +10,12 @@
 	"sync/atomic"
 	"time"
 
-	"clementinerock/internal/mesh/messenger"
-	"clementinerock/internal/mesh/signer"
-
 	"github.com/ansel1/merry/v2"
 	"github.com/quic-go/quic-go"
 	"github.com/sourcegraph/conc"
+
+	"clementinerock/internal/mesh/messenger"
+	"clementinerock/internal/mesh/signer"
 )
 
 const (
--- a/internal/mesh/messenger/message.go
+++ b/internal/mesh/messenger/message.go
@@ -5,12 +5,12 @@
 import (
 	"encoding/binary"
 
-	"clementinerock/internal/config/approver"
-	"clementinerock/internal/config/indexer"
-
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/xxh3"
+
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/config/indexer"
 )
 
 // MaxMessageBytes bounds the size of one encoded message.
@@ -126,10 +126,12 @@
 	Holdings []Holding `cbor:"2,keyasint,omitempty"`
 }
 
-// Ping asks for a Pong. Both name the version that the sender has in force.
+// Ping asks for a Pong. Both name the version that the sender has in force and the
+// hash of the zone reports that it knows.
 type Ping struct {
 	Pong    bool   `cbor:"1,keyasint,omitempty"`
 	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Reports uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // ProbeRequest asks a peer to try a machine on the sender's behalf.
--- a/internal/mesh/reader/reader.go
+++ b/internal/mesh/reader/reader.go
@@ -10,14 +10,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
 	"clementinerock/internal/config/approver"
 	"clementinerock/internal/config/indexer"
 	"clementinerock/internal/mesh/messenger"
 	"clementinerock/internal/store/keeper"
-
-	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
-	"go.uber.org/zap"
 )
 
 const (
--- a/internal/node/announcer/announcer.go
+++ b/internal/node/announcer/announcer.go
@@ -8,14 +8,14 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+
 	"clementinerock/internal/config/parser"
 	"clementinerock/internal/mesh/gossiper"
 	"clementinerock/internal/mesh/messenger"
 	"clementinerock/internal/node/runner"
-
-	"github.com/ansel1/merry/v2"
-	"github.com/gofiber/fiber/v3"
-	"github.com/gofiber/fiber/v3/middleware/adaptor"
 )
 
 // Paths of the interface.
--- a/internal/node/loader/settings.go
+++ b/internal/node/loader/settings.go
@@ -10,14 +10,14 @@
 	"strconv"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/zap/zapcore"
+
 	"clementinerock/internal/call/limiter"
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/config/parser"
 	"clementinerock/internal/mesh/messenger"
-
-	"github.com/ansel1/merry/v2"
-	"github.com/pelletier/go-toml/v2"
-	"go.uber.org/zap/zapcore"
 )
 
 // Settings are a node's settings as written in TOML.
--- a/internal/node/runner/control.go
+++ b/internal/node/runner/control.go
@@ -4,14 +4,14 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"clementinerock/internal/call/router"
 	"clementinerock/internal/config/approver"
 	"clementinerock/internal/config/indexer"
 	"clementinerock/internal/mesh/gossiper"
 	"clementinerock/internal/mesh/linker"
 	"clementinerock/internal/mesh/messenger"
-
-	"go.uber.org/zap"
 )
 
 const (
--- a/internal/node/runner/node.go
+++ b/internal/node/runner/node.go
@@ -10,6 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
 	"clementinerock/internal/call/forwarder"
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/call/router"
@@ -22,11 +27,6 @@
 	"clementinerock/internal/mesh/reader"
 	"clementinerock/internal/mesh/signer"
 	"clementinerock/internal/node/counter"
-
-	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 )
 
 const (
@@ -253,35 +253,48 @@
 	return s.slot, s.eligible
 }
 
-// seek dials the peers in the settings and, if there are none to try, those that
-// the store names.
+// seek dials unknown peers: those in the settings and, if none of them answers,
+// those that the store names.
 func (n *Node) seek() {
 	if !n.seeking.CompareAndSwap(false, true) {
 		return
 	}
 	n.tasks.Go(func() {
 		defer n.seeking.Store(false)
-		for _, address := range n.peers {
-			if address != n.machine.Control {
-				n.links.DialAddress(address)
-			}
-		}
-		if len(n.peers) > 0 && !sleepOrDone(n.ctx, seekTimeout) {
+		dialed := n.dialUnknown(n.peers)
+		if dialed > 0 && !sleepOrDone(n.ctx, seekTimeout) {
 			return
 		}
-		if n.linked() {
-			return
+		if dialed == 0 || !n.linked() {
+			n.seekStore()
 		}
-		n.seekStore()
 	})
 }
 
 func (n *Node) linked() bool {
 	linked := false
-	n.ask(func(c *control) { linked = len(c.core.Dump().Links) > 0 })
+	n.ask(func(c *control) { linked = c.core.Linked() })
 	return linked
 }
 
+// dialUnknown dials a few of the addresses that no known machine has.
+func (n *Node) dialUnknown(addresses []string) int {
+	var unknown []string
+	n.ask(func(c *control) {
+		for _, address := range addresses {
+			if !c.core.Knows(address) {
+				unknown = append(unknown, address)
+			}
+		}
+	})
+	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	unknown = unknown[:min(len(unknown), seedDials)]
+	for _, address := range unknown {
+		n.links.DialAddress(address)
+	}
+	return len(unknown)
+}
+
 func (n *Node) seekStore() {
 	ctx, cancel := context.WithTimeout(n.ctx, seekTimeout)
 	defer cancel()
@@ -290,10 +303,7 @@
 		n.log.Warn("control: seeds not read", zap.Error(err))
 		return
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses[:min(len(addresses), seedDials)] {
-		n.links.DialAddress(address)
-	}
+	n.dialUnknown(addresses)
 }
 
 const seedDials = 3 // seeds dialed at once
--- a/internal/store/caller/caller.go
+++ b/internal/store/caller/caller.go
@@ -7,11 +7,11 @@
 	"errors"
 	"time"
 
-	"clementinerock/internal/store/keeper"
-	"clementinerock/internal/store/server"
-
 	"github.com/ansel1/merry/v2"
 	"github.com/valyala/fasthttp"
+
+	"clementinerock/internal/store/keeper"
+	"clementinerock/internal/store/server"
 )
 
 const (
--- a/internal/store/server/server.go
+++ b/internal/store/server/server.go
@@ -8,10 +8,10 @@
 	"net"
 	"time"
 
-	"clementinerock/internal/store/keeper"
-
 	"github.com/ansel1/merry/v2"
 	"github.com/gofiber/fiber/v3"
+
+	"clementinerock/internal/store/keeper"
 )
 
 // Paths of the protocol. Every call is a POST with a JSON Request and Response.
