Add randomised fault runs over the control decisions

Cause: no proof under failure existed. Change: a fake network of cores, random crashes, herds, freezes, partitions and losses, invariants asserted inside the program, recovery required at the end.

--- a/internal/mesh/gossiper/core.go
+++ b/internal/mesh/gossiper/core.go
@@ -183,6 +183,7 @@
 	c.pursue()
 	c.report()
 	c.expire()
+	c.mustHold()
 	return c.drain()
 }
 
--- /dev/null
+++ b/internal/mesh/gossiper/invariant.go
@@ -0,0 +1,51 @@
+package gossiper
+
+import (
+	"fmt"
+
+	"clementinerock/internal/mesh/messenger"
+)
+
+// mustHold stops the process if the control state contradicts itself.
+func (c *Core) mustHold() {
+	v := &c.versions
+	if len(v.past) > 0 {
+		last := v.past[len(v.past)-1]
+		if last.head != v.head || last.index.Root() != v.head.Root {
+			panic(fmt.Sprintf("version %d in force is not the one held", v.head.Version))
+		}
+	}
+	if v.told < v.head.Version {
+		panic(fmt.Sprintf("version %d in force was never heard of", v.head.Version))
+	}
+	if c.self.record.Stamp.Health != messenger.Alive {
+		panic("node takes itself for " + c.self.record.Stamp.Health.String())
+	}
+	if len(c.links) > 2*maxLinks {
+		panic(fmt.Sprintf("%d links are open", len(c.links)))
+	}
+}
+
+// mustAgree stops the process if the table's digest or rings don't match its
+// members. It visits every member and is meant for tests.
+func (t *table) mustAgree() {
+	root := uint64(0)
+	present := 0
+	for key, m := range t.members {
+		_, placed := t.ring(m.record.Machine.Zone).find(key)
+		if placed != m.present() {
+			panic(m.record.Machine.Name + " is not placed by its health")
+		}
+		if m.present() {
+			root ^= m.holding().Sum()
+			present++
+		}
+	}
+	keys := 0
+	for _, r := range t.rings {
+		keys += len(r.keys)
+	}
+	if root != t.root || keys != present {
+		panic("digest and members differ")
+	}
+}
--- a/internal/mesh/gossiper/network_test.go
+++ b/internal/mesh/gossiper/network_test.go
@@ -24,6 +24,7 @@
 	frozen map[string]bool
 	links  map[[2]string]int // generation of an open link, by ordered pair
 	parted func(a, b string) bool
+	loss   float64 // share of messages lost
 	queue  deliveries
 	serial int
 	force  map[string]approver.Head
@@ -121,9 +122,9 @@
 // kill ends a node without a word. Its peers notice when their links time out.
 func (n *network) kill(name string) {
 	delete(n.cores, name)
-	for link := range n.links {
+	for link, generation := range n.links {
 		if link[0] == name || link[1] == name {
-			n.timeOut(link, n.links[link])
+			n.timeOut(link, generation)
 		}
 	}
 }
@@ -206,7 +207,7 @@
 	n.bytes[from] += len(data)
 	link := pair(from, send.To)
 	generation := n.links[link]
-	if generation == 0 {
+	if generation == 0 || n.rng.Float64() < n.loss {
 		return
 	}
 	n.after(testLatency, func() {
@@ -255,6 +256,23 @@
 	})
 }
 
+// pause freezes a node. Links that stay silent for too long time out.
+func (n *network) pause(name string) {
+	n.frozen[name] = true
+	for link, generation := range n.links {
+		if link[0] != name && link[1] != name {
+			continue
+		}
+		n.after(testIdle, func() {
+			if n.frozen[name] && n.links[link] == generation {
+				delete(n.links, link)
+				n.down(link[0], link[1], false)
+				n.down(link[1], link[0], false)
+			}
+		})
+	}
+}
+
 // cut parts the network and lets the links across it time out.
 func (n *network) cut(parted func(a, b string) bool) {
 	n.parted = parted
--- /dev/null
+++ b/internal/mesh/gossiper/random_test.go
@@ -0,0 +1,242 @@
+package gossiper
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of randomised tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		if err := f.Value.Set("1"); err != nil {
+			panic(err)
+		}
+	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("12"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	stepsPerRun  = 50
+	healTime     = 3 * time.Minute
+	testServices = 6
+)
+
+// faults are what one randomised run may do to the mesh.
+type faults struct {
+	crash, herd, freeze, part, loss bool
+}
+
+// world is the mesh of one run with what the test knows about it.
+type world struct {
+	*network
+
+	faults  faults
+	version uint64 // at the store's head
+	stopped map[string]bool
+	serial  int
+}
+
+func (w *world) running() []string {
+	var names []string
+	for _, name := range w.names() {
+		if !w.frozen[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (w *world) draw(rt *rapid.T, names []string) string {
+	return names[rapid.IntRange(0, len(names)-1).Draw(rt, "machine")]
+}
+
+// step does one random thing to the mesh and lets some time pass.
+func (w *world) step(rt *rapid.T) {
+	actions := []func(*rapid.T){w.approve, w.approve, w.restart, w.rest}
+	if w.faults.crash {
+		actions = append(actions, w.crash)
+	}
+	if w.faults.herd {
+		actions = append(actions, w.crashHerd)
+	}
+	if w.faults.freeze {
+		actions = append(actions, w.freeze, w.thaw)
+	}
+	if w.faults.part {
+		actions = append(actions, w.part, func(*rapid.T) { w.heal() })
+	}
+	if w.faults.loss {
+		actions = append(actions, func(rt *rapid.T) { w.loss = rapid.Float64Range(0, 0.3).Draw(rt, "loss") })
+	}
+	actions[rapid.IntRange(0, len(actions)-1).Draw(rt, "action")](rt)
+	w.run(time.Duration(rapid.IntRange(1, 30).Draw(rt, "ticks")) * testTick)
+	for _, core := range w.cores {
+		core.table.mustAgree()
+	}
+}
+
+// approve raises the head and lets one node read it from the store.
+func (w *world) approve(rt *rapid.T) {
+	if names := w.running(); len(names) > 0 {
+		w.version++
+		w.learn(w.draw(rt, names), w.version, testServices)
+	}
+}
+
+func (w *world) rest(*rapid.T) { w.run(5 * time.Second) }
+
+func (w *world) stop(name string) {
+	w.kill(name)
+	w.stopped[name] = true
+}
+
+func (w *world) crash(rt *rapid.T) {
+	if names := w.running(); len(names) > 3 {
+		w.stop(w.draw(rt, names))
+	}
+}
+
+func (w *world) crashHerd(rt *rapid.T) {
+	names := w.running()
+	for _, name := range names[:len(names)/2] {
+		if rapid.Bool().Draw(rt, "falls") {
+			w.stop(name)
+		}
+	}
+}
+
+func (w *world) restart(*rapid.T) {
+	for name := range w.stopped {
+		delete(w.stopped, name)
+		w.revive(name)
+		return
+	}
+}
+
+func (w *world) revive(name string) {
+	var number int
+	if _, err := fmt.Sscanf(name, "n%d", &number); err != nil {
+		panic(err)
+	}
+	zone := number % testZones
+	w.start(name, fmt.Sprintf("z%d", zone), fmt.Sprintf("r%d", zone/2))
+}
+
+func (w *world) freeze(rt *rapid.T) {
+	if names := w.running(); len(names) > 3 {
+		w.pause(w.draw(rt, names))
+	}
+}
+
+func (w *world) thaw(*rapid.T) { clear(w.frozen) }
+
+func (w *world) part(rt *rapid.T) {
+	zone := fmt.Sprintf("z%d", rapid.IntRange(0, testZones-1).Draw(rt, "zone"))
+	inside := func(name string) bool { return w.zoneOf(name) == zone }
+	w.cut(func(a, b string) bool { return inside(a) != inside(b) })
+}
+
+func (w *world) zoneOf(name string) string {
+	var number int
+	if _, err := fmt.Sscanf(name, "n%d", &number); err != nil {
+		panic(err)
+	}
+	return fmt.Sprintf("z%d", number%testZones)
+}
+
+const testZones = 3
+
+// recover ends every fault and requires the mesh to become whole again.
+func (w *world) recover(rt *rapid.T) {
+	w.heal()
+	w.loss = 0
+	clear(w.frozen)
+	for _, name := range sortedNames(w.stopped) {
+		if strings.HasSuffix(name, "0") {
+			continue // stays away, so that its record must go
+		}
+		w.revive(name)
+	}
+	w.version++
+	w.learn(w.names()[0], w.version, testServices)
+	if !w.until(healTime, func() bool { return w.inForce(w.version) }) {
+		rt.Fatalf("version %d is not in force everywhere: %v", w.version, w.force)
+	}
+	if !w.until(healTime, w.agreed) {
+		rt.Fatalf("the nodes do not agree on who is there: %s", w.disagreement())
+	}
+	complete := func() bool {
+		for _, core := range w.cores {
+			if status := core.Status(); !status.Complete() || status.Version != w.version {
+				return false
+			}
+		}
+		return true
+	}
+	if !w.until(healTime, complete) {
+		rt.Fatalf("the reported convergence is incomplete")
+	}
+}
+
+func (n *network) disagreement() string {
+	var text strings.Builder
+	for _, name := range n.names() {
+		for _, m := range n.cores[name].table.members {
+			other := m.record.Machine.Name
+			if m.present() && (!m.alive() || n.cores[other] == nil) {
+				fmt.Fprintf(&text, "%s has %s %s; ", name, other, m.record.Stamp.Health)
+			}
+		}
+		for _, other := range n.names() {
+			if m := n.cores[name].table.get(other); m == nil || !m.present() {
+				fmt.Fprintf(&text, "%s lacks %s; ", name, other)
+			}
+		}
+	}
+	return text.String()
+}
+
+func TestRandomFaults(t *testing.T) {
+	mixes := map[string]faults{
+		"none":               {},
+		"crashes":            {crash: true},
+		"herds":              {crash: true, herd: true},
+		"freezes":            {freeze: true},
+		"partitions":         {part: true},
+		"loss":               {loss: true},
+		"crash and part":     {crash: true, part: true},
+		"freeze and loss":    {freeze: true, loss: true},
+		"herd and freeze":    {herd: true, freeze: true},
+		"everything at once": {crash: true, herd: true, freeze: true, part: true, loss: true},
+	}
+	for name, mix := range mixes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(rt *rapid.T) {
+				w := &world{
+					network: newNetwork(rapid.Uint64().Draw(rt, "seed")),
+					faults:  mix,
+					stopped: make(map[string]bool),
+				}
+				w.fill(13, testZones)
+				w.run(10 * time.Second)
+				for range stepsPerRun {
+					w.step(rt)
+				}
+				w.recover(rt)
+			})
+		})
+	}
+}
