Mend faults found by the randomised fault runs

Cause, each seen in a failing run: a version adopted from a peer was newer than any heard of; a child's report that came before the parent planned its children was dropped and the repeat timer was restarted by counting; nodes never dialed a zone that was wholly suspect, so a healed partition stayed parted. Change: adopting hears the version; reports are kept by linked peer; readers of a zone try machines of unreachable zones, one at each plan.

--- a/internal/mesh/gossiper/network_test.go
+++ b/internal/mesh/gossiper/network_test.go
@@ -102,7 +102,20 @@
 	heap.Push(&n.queue, delivery{due: n.now.Add(delay), serial: n.serial, run: run})
 }
 
+// start starts a node. Links that an earlier process of that name left behind are
+// reset.
 func (n *network) start(name, zone, region string) *Core {
+	for link := range n.links {
+		if link[0] != name && link[1] != name {
+			continue
+		}
+		delete(n.links, link)
+		peer := link[0]
+		if peer == name {
+			peer = link[1]
+		}
+		n.down(peer, name, false)
+	}
 	machine := messenger.Machine{Name: name, Zone: zone, Region: region, Control: "c/" + name, Peer: "p/" + name}
 	core := New(machine, n.config, rand.New(rand.NewPCG(n.rng.Uint64(), 2)), n.now)
 	n.cores[name] = core
--- a/internal/mesh/gossiper/planner.go
+++ b/internal/mesh/gossiper/planner.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -137,6 +138,7 @@
 	c.planParent()
 	c.planOutside()
 	c.planLeaders()
+	c.planLost()
 	children := c.childNames()
 	for _, name := range children {
 		p.pinned[name] = true
@@ -280,6 +282,24 @@
 	})
 }
 
+// planLost makes the readers of a zone try the machines of zones that are wholly
+// unreachable, another one at each plan, so that parted sides meet again.
+func (c *Core) planLost() {
+	if _, reads := c.ReaderSlot(); !reads {
+		return
+	}
+	for _, zone := range sortedNames(c.table.rings) {
+		r := c.table.rings[zone]
+		if len(r.keys) == 0 || slices.ContainsFunc(r.keys, c.usable) {
+			continue
+		}
+		key := r.keys[c.rng.IntN(len(r.keys))]
+		if zone != c.self.record.Machine.Zone {
+			c.planner.wanted[c.table.members[key].record.Machine.Name] = true
+		}
+	}
+}
+
 func (c *Core) dialWanted() {
 	p := &c.planner
 	for _, name := range sortedNames(p.wanted) {
--- a/internal/mesh/gossiper/random_test.go
+++ b/internal/mesh/gossiper/random_test.go
@@ -186,7 +186,11 @@
 		return true
 	}
 	if !w.until(healTime, complete) {
-		rt.Fatalf("the reported convergence is incomplete")
+		for _, name := range w.names() {
+			if status := w.cores[name].Status(); !status.Complete() {
+				rt.Fatalf("%s reports %+v", name, status)
+			}
+		}
 	}
 }
 
--- a/internal/mesh/gossiper/reporter.go
+++ b/internal/mesh/gossiper/reporter.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -21,12 +22,13 @@
 
 // reporter counts up the tree of a zone which machines have a version in force.
 type reporter struct {
-	children map[string]*messenger.Report // nil until the child reported
-	since    map[string]time.Time
+	children map[string]bool
+	reports  map[string]messenger.Report // by linked peer, child or not yet
 	stale    bool
 	sent     messenger.Report
 	sentTo   string
 	sentAt   time.Time
+	counted  time.Time
 	zones    map[string]messenger.ZoneReport
 	sum      uint32 // hash of the zone reports, for repair
 	zoneAt   time.Time
@@ -37,8 +39,8 @@
 
 func newReporter() reporter {
 	return reporter{
-		children: make(map[string]*messenger.Report),
-		since:    make(map[string]time.Time),
+		children: make(map[string]bool),
+		reports:  make(map[string]messenger.Report),
 		zones:    make(map[string]messenger.ZoneReport),
 		fresh:    make(map[string]bool),
 		from:     make(map[string]string),
@@ -47,17 +49,21 @@
 }
 
 func (r *reporter) setChildren(names []string) {
-	keep := make(map[string]*messenger.Report, len(names))
+	children := make(map[string]bool, len(names))
 	for _, name := range names {
-		keep[name] = r.children[name]
+		children[name] = true
 	}
-	if len(keep) != len(r.children) {
+	if !maps.Equal(children, r.children) {
 		r.stale = true
 	}
-	r.children = keep
+	r.children = children
 }
 
 func (r *reporter) lost(name string) {
+	delete(r.reports, name)
+	if r.children[name] {
+		r.stale = true
+	}
 	if r.sentTo == name {
 		r.sentTo = ""
 	}
@@ -66,14 +72,8 @@
 func (c *Core) receiveReport(l *link, m *messenger.Message) {
 	r := &c.reporter
 	if m.Report != nil {
-		if _, child := r.children[l.name]; child {
-			report := *m.Report
-			r.children[l.name] = &report
-			r.stale = true
-		} else {
-			// The planner may not have seen yet that the sender is a child.
-			c.planner.stale = true
-		}
+		r.reports[l.name] = *m.Report
+		r.stale = true
 		c.hear(m.Report.Version)
 	}
 	for _, zone := range m.Zones {
@@ -131,17 +131,18 @@
 	}
 	moved := r.sentTo != parent
 	repeat := c.now.Sub(r.sentAt) > zoneRepeat
-	late := c.late() && c.now.Sub(r.sentAt) > lateReport
-	if (!r.stale && !moved && !repeat && !late) || c.now.Sub(r.sentAt) < reportDelay {
+	late := c.late() && c.now.Sub(r.counted) > lateReport
+	if (!r.stale && !moved && !repeat && !late) || c.now.Sub(r.counted) < reportDelay {
 		return
 	}
 	report := c.subtree()
 	r.stale = false
-	r.sentAt = c.now
+	r.counted = c.now
 	if equalReport(report, r.sent) && !moved && !repeat {
 		return
 	}
 	r.sent = report
+	r.sentAt = c.now
 	r.sentTo = parent
 	c.send(parent, messenger.Message{Report: &report})
 }
@@ -171,8 +172,8 @@
 		report.Laggards = append(report.Laggards, messenger.Laggard{Name: c.self.record.Machine.Name, Reason: c.ownReason()})
 	}
 	for _, name := range sortedNames(c.reporter.children) {
-		child := c.reporter.children[name]
-		if child != nil && child.Version >= version {
+		child, known := c.reporter.reports[name]
+		if known && child.Version >= version {
 			report.InForce += child.InForce
 			report.Laggards = append(report.Laggards, child.Laggards...)
 			continue
--- a/internal/mesh/gossiper/versions.go
+++ b/internal/mesh/gossiper/versions.go
@@ -126,6 +126,7 @@
 		c.refuse(head, err)
 		return
 	}
+	c.hear(head.Version)
 	before := v.head.Version
 	v.head = head
 	v.past = append(v.past, held{head: head, index: index})
