Measure convergence, control traffic and recovery of real nodes

Cause: no figures existed. Change: 'measure control' runs real nodes on loopback and prints a table.

--- /dev/null
+++ b/internal/bench/measurer/poll.go
@@ -0,0 +1,61 @@
+package measurer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"clementinerock/internal/config/approver"
+	"clementinerock/internal/store/caller"
+	"clementinerock/internal/store/keeper"
+	"clementinerock/internal/store/server"
+)
+
+// meteredConn counts the bytes of a connection in both directions.
+type meteredConn struct {
+	net.Conn
+
+	bytes *atomic.Int64
+}
+
+// Read reads and counts.
+func (c *meteredConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *meteredConn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// pollOnce returns the bytes of one read of the head on an open connection.
+func pollOnce(store *keeper.Keeper) (int, error) {
+	s, stop, err := server.New(store, "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer stop()
+	var bytes atomic.Int64
+	client := caller.New(s.Address())
+	client.SetDial(func(address string) (net.Conn, error) {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			return nil, err
+		}
+		return &meteredConn{Conn: conn, bytes: &bytes}, nil
+	})
+	ctx := context.Background()
+	if _, err := client.Get(ctx, approver.HeadKey); err != nil {
+		return 0, err
+	}
+	first := bytes.Load()
+	if _, err := client.Get(ctx, approver.HeadKey); err != nil {
+		return 0, err
+	}
+	return int(bytes.Load() - first), nil
+}
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -56,6 +56,8 @@
 	wait     bool
 	remove   string
 	sabotage bool
+	nodes    string
+	services int
 }
 
 // env is what an action works with.
@@ -79,6 +81,7 @@
 	rejectCommand,
 	undoCommand,
 	historyCommand,
+	measureCommand,
 	statusCommand,
 	dumpCommand,
 	versionCommand,
--- a/internal/demo/builder/builder.go
+++ b/internal/demo/builder/builder.go
@@ -88,12 +88,16 @@
 	Admin   string
 	Targets []*responder.Target
 
-	stop func()
+	stop  func()
+	crash func()
 }
 
 // Stop ends the host's node at once.
 func (h *Host) Stop() { h.stop() }
 
+// Crash ends the host's node without a word to its peers.
+func (h *Host) Crash() { h.crash() }
+
 // Mesh is a running mesh.
 type Mesh struct {
 	Deployment Deployment
@@ -223,7 +227,11 @@
 			stopNode()
 		})
 	}
-	host := &Host{Name: name, Zone: zone, Region: region, Node: node, Admin: admin, stop: stop}
+	crash := func() {
+		node.Silence()
+		stop()
+	}
+	host := &Host{Name: name, Zone: zone, Region: region, Node: node, Admin: admin, stop: stop, crash: crash}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.hosts = append(m.hosts, host)
--- a/internal/mesh/gossiper/network_test.go
+++ b/internal/mesh/gossiper/network_test.go
@@ -104,7 +104,7 @@
 
 // start starts a node. Links that an earlier process of that name left behind are
 // reset.
-func (n *network) start(name, zone, region string) *Core {
+func (n *network) start(name, zone, region string) {
 	for link := range n.links {
 		if link[0] != name && link[1] != name {
 			continue
@@ -121,7 +121,6 @@
 	n.cores[name] = core
 	delete(n.force, name)
 	delete(n.frozen, name)
-	return core
 }
 
 // fill starts nodes spread over zones of one region each two zones.
--- a/internal/mesh/gossiper/random_test.go
+++ b/internal/mesh/gossiper/random_test.go
@@ -45,7 +45,6 @@
 	faults  faults
 	version uint64 // at the store's head
 	stopped map[string]bool
-	serial  int
 }
 
 func (w *world) running() []string {
--- a/internal/mesh/linker/link.go
+++ b/internal/mesh/linker/link.go
@@ -63,19 +63,28 @@
 	conn     *net.UDPConn
 	sent     atomic.Uint64
 	received atomic.Uint64
+	silent   atomic.Bool // drops every packet
 }
 
 // ReadFrom reads one packet.
 func (c *countingConn) ReadFrom(data []byte) (int, net.Addr, error) {
-	n, from, err := c.conn.ReadFrom(data)
-	if err == nil {
-		c.received.Add(uint64(n) + headerBytes)
+	for {
+		n, from, err := c.conn.ReadFrom(data)
+		if err == nil && c.silent.Load() {
+			continue
+		}
+		if err == nil {
+			c.received.Add(uint64(n) + headerBytes)
+		}
+		return n, from, err
 	}
-	return n, from, err
 }
 
 // WriteTo sends one packet.
 func (c *countingConn) WriteTo(data []byte, to net.Addr) (int, error) {
+	if c.silent.Load() {
+		return len(data), nil
+	}
 	c.sent.Add(uint64(len(data)) + headerBytes)
 	return c.conn.WriteTo(data, to)
 }
--- a/internal/mesh/linker/linker.go
+++ b/internal/mesh/linker/linker.go
@@ -132,6 +132,9 @@
 	return l.counter.sent.Load(), l.counter.received.Load()
 }
 
+// Silence drops every packet from now on, in both directions.
+func (l *Linker) Silence() { l.counter.silent.Store(true) }
+
 // Dial opens a link to a machine in the background.
 func (l *Linker) Dial(machine messenger.Machine) {
 	l.tasks.Go(func() {
--- a/internal/store/caller/caller.go
+++ b/internal/store/caller/caller.go
@@ -37,6 +37,9 @@
 	}}
 }
 
+// SetDial replaces how connections are made. Call it before the first call.
+func (c *Caller) SetDial(dial fasthttp.DialFunc) { c.client.Dial = dial }
+
 // Get returns the entry of a key.
 func (c *Caller) Get(ctx context.Context, key string) (keeper.Entry, error) {
 	response, err := c.call(ctx, server.PathGet, &server.Request{Key: key}, callTimeout)
