Embed contracts in 64 KB leaf pages and keep links that either side wants

Cause: an approval read every contract from the store, 535 calls per change at 200 services; links closed by one side were opened again by the other. Change: leaves hold the contracts and split by bytes; a link closes only when neither side wants it; pings are skipped on links that were heard from.

--- a/internal/config/indexer/index.go
+++ b/internal/config/indexer/index.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	// LeafItems is the largest number of contracts that one leaf page lists.
-	LeafItems = 16
+	// LeafBytes is the size beyond which a leaf page is split.
+	LeafBytes = 64 << 10
 	fanOut    = 16
+	itemBytes = 8 // encoding of an item beyond its name and data
 )
 
 // ErrMismatch is returned when contents don't have the announced root.
 var ErrMismatch = merry.Sentinel("contents do not match the root hash")
 
-// Hash is the SHA-256 of a page or a contract.
+// Hash is the SHA-256 of a page.
 type Hash [sha256.Size]byte
 
 // String returns the hash in hexadecimal.
@@ -69,7 +70,6 @@
 type entry struct {
 	path Hash // hash of the name; gives the place in the tree
 	name string
-	hash Hash
 	data []byte
 }
 
@@ -109,7 +109,7 @@
 	}
 	fresh := make([]entry, 0, len(delta.Set))
 	for _, item := range delta.Set {
-		fresh = append(fresh, entry{path: Sum([]byte(item.Name)), name: item.Name, hash: Sum(item.Data), data: item.Data})
+		fresh = append(fresh, entry{path: Sum([]byte(item.Name)), name: item.Name, data: item.Data})
 	}
 	for i := range fresh {
 		changed[fresh[i].name] = &fresh[i]
@@ -128,7 +128,7 @@
 	sort.Slice(entries, func(i, j int) bool { return entries[i].before(&entries[j]) })
 	next := Index{entries: entries}
 	if len(entries) > 0 {
-		next.root = build(entries, 0, nil)
+		next.root = build(entries, 0, LeafBytes, nil)
 	}
 	return next
 }
@@ -146,7 +146,7 @@
 			delta.Set = append(delta.Set, Item{Name: target.entries[j].name, Data: target.entries[j].data})
 			j++
 		default:
-			if x.entries[i].hash != target.entries[j].hash {
+			if !bytes.Equal(x.entries[i].data, target.entries[j].data) {
 				delta.Set = append(delta.Set, Item{Name: target.entries[j].name, Data: target.entries[j].data})
 			}
 			i++
@@ -158,20 +158,19 @@
 	return delta
 }
 
-// Chunk is a page or a contract under its hash.
+// Chunk is a page under its hash.
 type Chunk struct {
 	Hash Hash
 	Data []byte
 }
 
-// Chunks returns every page and contract of the index.
-func (x Index) Chunks() []Chunk {
+// Chunks returns every page of the index.
+func (x Index) Chunks() []Chunk { return x.chunks(LeafBytes) }
+
+func (x Index) chunks(leafBytes int) []Chunk {
 	var chunks []Chunk
-	for i := range x.entries {
-		chunks = append(chunks, Chunk{x.entries[i].hash, x.entries[i].data})
-	}
 	if len(x.entries) > 0 {
-		build(x.entries, 0, func(c Chunk) { chunks = append(chunks, c) })
+		build(x.entries, 0, leafBytes, func(c Chunk) { chunks = append(chunks, c) })
 	}
 	return chunks
 }
@@ -192,15 +191,11 @@
 	return fresh
 }
 
+// page is a node of the tree: either a leaf with its contracts, or the hashes of
+// its children.
 type page struct {
-	Leaf     []leafItem `cbor:"1,keyasint,omitempty"`
-	Children []child    `cbor:"2,keyasint,omitempty"`
-}
-
-type leafItem struct {
-	_    struct{} `cbor:",toarray"`
-	Name string
-	Hash Hash
+	Leaf     []Item  `cbor:"1,keyasint,omitempty"`
+	Children []child `cbor:"2,keyasint,omitempty"`
 }
 
 type child struct {
@@ -217,14 +212,16 @@
 	return mode
 }()
 
-func build(entries []entry, depth int, emit func(Chunk)) Hash {
+// build returns the hash of the page over entries. A page splits by the next digit
+// of the path when its contracts are larger than leafBytes.
+func build(entries []entry, depth, leafBytes int, emit func(Chunk)) Hash {
 	var p page
-	if len(entries) <= LeafItems || depth >= 2*len(Hash{}) {
+	if len(entries) == 1 || size(entries) <= leafBytes {
 		for i := range entries {
-			p.Leaf = append(p.Leaf, leafItem{Name: entries[i].name, Hash: entries[i].hash})
+			p.Leaf = append(p.Leaf, Item{Name: entries[i].name, Data: entries[i].data})
 		}
 	} else {
-		p.Children = buildChildren(entries, depth, emit)
+		p.Children = buildChildren(entries, depth, leafBytes, emit)
 	}
 	data, err := encMode.Marshal(p)
 	if err != nil {
@@ -237,7 +234,15 @@
 	return hash
 }
 
-func buildChildren(entries []entry, depth int, emit func(Chunk)) []child {
+func size(entries []entry) int {
+	total := 0
+	for i := range entries {
+		total += len(entries[i].name) + len(entries[i].data) + itemBytes
+	}
+	return total
+}
+
+func buildChildren(entries []entry, depth, leafBytes int, emit func(Chunk)) []child {
 	children := make([]child, 0, fanOut)
 	for start := 0; start < len(entries); {
 		digit := nibble(entries[start].path, depth)
@@ -245,7 +250,8 @@
 		for end < len(entries) && nibble(entries[end].path, depth) == digit {
 			end++
 		}
-		children = append(children, child{Nibble: digit, Hash: build(entries[start:end], depth+1, emit)})
+		hash := build(entries[start:end], depth+1, leafBytes, emit)
+		children = append(children, child{Nibble: digit, Hash: hash})
 		start = end
 	}
 	return children
--- /dev/null
+++ b/internal/config/indexer/index_test.go
@@ -0,0 +1,100 @@
+package indexer
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func randomItems(rt *rapid.T, label string) []Item {
+	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 0, 40, rapid.ID[string]).Draw(rt, label)
+	var items []Item
+	for _, name := range names {
+		size := rapid.IntRange(1, 9000).Draw(rt, "size")
+		items = append(items, Item{Name: name, Data: bytes.Repeat([]byte(name[:1]), size)})
+	}
+	return items
+}
+
+func TestRandomIndex(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		from := New(randomItems(rt, "from"))
+		to := New(randomItems(rt, "to"))
+		shuffled := to.Items()
+		rand.New(rand.NewPCG(1, 2)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		assert.Equal(rt, New(shuffled).Root(), to.Root(), "the root depends on the order")
+		assert.Equal(rt, from.Apply(from.Diff(to)).Root(), to.Root(), "the difference does not lead to the target")
+
+		stored := make(map[Hash][]byte)
+		for _, chunk := range append(from.Chunks(), from.NewChunks(to)...) {
+			stored[chunk.Hash] = chunk.Data
+		}
+		get := func(hash Hash) ([]byte, error) {
+			if data, ok := stored[hash]; ok {
+				return data, nil
+			}
+			return nil, errors.New("no such chunk")
+		}
+		loaded, err := Load(to.Root(), Index{}, get)
+		assert.NilError(rt, err)
+		assert.Equal(rt, loaded.Root(), to.Root())
+	})
+}
+
+func TestLoadRefusesDamagedChunk(t *testing.T) {
+	index := New([]Item{{Name: "a", Data: []byte("contract")}})
+	_, err := Load(index.Root(), Index{}, func(Hash) ([]byte, error) { return []byte("other"), nil })
+	assert.ErrorIs(t, err, ErrMismatch)
+}
+
+// BenchmarkLayout shows what one change among 2,000 services costs the store for
+// several leaf sizes. A leaf of unlimited size is the one-blob baseline.
+func BenchmarkLayout(b *testing.B) {
+	const services, contractBytes = 2000, 250
+	rng := rand.New(rand.NewPCG(1, 2))
+	var items []Item
+	for i := range services {
+		data := make([]byte, contractBytes)
+		for j := range data {
+			data[j] = byte(rng.Uint32())
+		}
+		items = append(items, Item{Name: fmt.Sprintf("service-%d", i), Data: data})
+	}
+	from := New(items)
+	changed := bytes.Clone(items[7].Data)
+	changed[0]++
+	to := from.Apply(Delta{Set: []Item{{Name: items[7].Name, Data: changed}}})
+	for _, leaf := range []int{1 << 10, 4 << 10, 16 << 10, 64 << 10, 1 << 30} {
+		b.Run(fmt.Sprintf("leaf=%d", leaf), func(b *testing.B) {
+			for b.Loop() {
+				to.chunks(leaf)
+			}
+			have := make(map[Hash]bool)
+			for _, chunk := range from.chunks(leaf) {
+				have[chunk.Hash] = true
+			}
+			chunks := to.chunks(leaf)
+			writes, written := 0, 0
+			for _, chunk := range chunks {
+				if !have[chunk.Hash] {
+					writes++
+					written += len(chunk.Data)
+				}
+			}
+			b.ReportMetric(float64(len(chunks)), "reads/load")
+			b.ReportMetric(float64(writes), "writes/change")
+			b.ReportMetric(float64(written), "B/change")
+		})
+	}
+	b.Run("difference", func(b *testing.B) {
+		for b.Loop() {
+			from.Diff(to)
+		}
+		b.ReportMetric(float64(from.Diff(to).Bytes()), "B/change")
+	})
+}
--- a/internal/config/indexer/load.go
+++ b/internal/config/indexer/load.go
@@ -58,13 +58,7 @@
 	if err := cbor.Unmarshal(data, &p); err != nil {
 		return merry.Prepend(err, "decode page")
 	}
-	for _, leaf := range p.Leaf {
-		contract, err := l.chunk(leaf.Hash)
-		if err != nil {
-			return err
-		}
-		l.items = append(l.items, Item{Name: leaf.Name, Data: contract})
-	}
+	l.items = append(l.items, p.Leaf...)
 	for _, child := range p.Children {
 		if err := l.page(child.Hash, depth+1); err != nil {
 			return err
--- a/internal/mesh/gossiper/core.go
+++ b/internal/mesh/gossiper/core.go
@@ -74,8 +74,8 @@
 
 // Default timing of a Core.
 const (
-	DefaultRingPing       = 2 * time.Second
-	DefaultLinkPing       = 10 * time.Second
+	DefaultRingPing       = 2500 * time.Millisecond
+	DefaultLinkPing       = 15 * time.Second
 	DefaultPongTimeout    = 1500 * time.Millisecond
 	DefaultVerifyTimeout  = 1500 * time.Millisecond
 	DefaultSuspectTimeout = 4 * time.Second
@@ -222,6 +222,7 @@
 	c.receiveProbe(l, m)
 	c.receiveVersion(l, m)
 	c.receiveReport(l, m)
+	c.receiveSpare(l, m)
 	if m.Overload {
 		c.planner.avoid(from, c.now)
 	}
--- a/internal/mesh/gossiper/detector.go
+++ b/internal/mesh/gossiper/detector.go
@@ -43,7 +43,7 @@
 		if name == c.planner.nearest {
 			interval = c.config.RingPing
 		}
-		if c.now.Sub(l.pinged) < interval || (l.inbound && !c.planner.monitored[name] && c.now.Sub(l.heard) < interval) {
+		if c.now.Sub(l.pinged) < interval || c.now.Sub(l.heard) < interval {
 			continue
 		}
 		l.pinged = c.now
--- a/internal/mesh/gossiper/planner.go
+++ b/internal/mesh/gossiper/planner.go
@@ -9,18 +9,19 @@
 )
 
 const (
-	successors   = 2                      // alive machines linked clockwise in the own zone
-	outsiders    = 2                      // links beyond the own zone
-	maxLinks     = 40                     // links beyond this are turned away
-	replanDelay  = 200 * time.Millisecond // gathers changes before links are planned
-	replanEvery  = 5 * time.Second
-	lingerTime   = 10 * time.Second // before an unneeded link is closed
-	avoidTime    = 30 * time.Second // before an overloaded peer is tried again
-	minRedial    = 500 * time.Millisecond
-	maxRedial    = 10 * time.Second
-	minSeek      = 500 * time.Millisecond
-	maxSeek      = 15 * time.Second
-	dialDeadline = 3 * time.Second
+	successors    = 2                      // alive machines linked clockwise in the own zone
+	outsiders     = 2                      // links beyond the own zone
+	maxLinks      = 40                     // links beyond this are turned away
+	replanDelay   = 200 * time.Millisecond // gathers changes before links are planned
+	replanEvery   = 5 * time.Second
+	lingerTime    = 10 * time.Second // before an unneeded link is closed
+	spareInterval = time.Minute      // between offers to close an unneeded link
+	avoidTime     = 30 * time.Second // before an overloaded peer is tried again
+	minRedial     = 500 * time.Millisecond
+	maxRedial     = 10 * time.Second
+	minSeek       = 500 * time.Millisecond
+	maxSeek       = 15 * time.Second
+	dialDeadline  = 3 * time.Second
 
 	islandInterval = 30 * time.Second // between a linked reader's searches for unknown peers
 )
@@ -35,6 +36,7 @@
 	pinged   time.Time
 	awaiting bool // a ping is unanswered
 	unneeded time.Time
+	spared   time.Time
 	version  uint64 // newest version that the peer said it holds
 	dirty    map[messenger.Key]change
 	offers   map[messenger.Key]bool
@@ -321,23 +323,36 @@
 	}
 }
 
+// closeUnneeded offers to close links that this node does not want. The peer
+// closes them unless it wants them itself, so that no link is opened again at once.
 func (c *Core) closeUnneeded() {
 	for _, name := range c.linkNames() {
 		l := c.links[name]
-		if l.inbound || c.planner.wanted[name] {
+		if c.planner.wanted[name] {
 			l.unneeded = time.Time{}
 			continue
 		}
 		if l.unneeded.IsZero() {
 			l.unneeded = c.now
 		}
-		if c.now.Sub(l.unneeded) > lingerTime && len(c.links) > 1 {
-			delete(c.links, name)
-			c.emit(Close{Name: name})
+		if c.now.Sub(l.unneeded) > lingerTime && c.now.Sub(l.spared) > spareInterval {
+			l.spared = c.now
+			c.send(name, messenger.Message{Spare: true})
 		}
 	}
 }
 
+// receiveSpare closes a link that neither side wants.
+func (c *Core) receiveSpare(l *link, m *messenger.Message) {
+	lingers := l.unneeded.IsZero() || c.now.Sub(l.unneeded) < lingerTime
+	if !m.Spare || c.planner.wanted[l.name] || lingers || len(c.links) < 2 {
+		return
+	}
+	delete(c.links, l.name)
+	c.reporter.lost(l.name)
+	c.emit(Close{Name: l.name})
+}
+
 // LinkUp reports an open link to a peer.
 func (c *Core) LinkUp(now time.Time, machine messenger.Machine, inbound bool) []Effect {
 	c.observe(now)
--- a/internal/mesh/messenger/message.go
+++ b/internal/mesh/messenger/message.go
@@ -211,6 +211,7 @@
 	Answer   bool          `cbor:"17,keyasint,omitempty"` // records answer a Sync or Want
 	Hello    *Hello        `cbor:"19,keyasint,omitempty"`
 	Overload bool          `cbor:"18,keyasint,omitempty"` // too many links; dial another
+	Spare    bool          `cbor:"20,keyasint,omitempty"` // the sender does not need the link
 }
 
 // Encode returns the bytes of a message.
