--- a/internal/call/forwarder/front.go
+++ b/internal/call/forwarder/front.go
@@ -214,7 +214,16 @@
 	if c.attempts >= retrier.MaxAttempts || len(c.tried) >= len(c.targets) {
 		return false
 	}
-	return time.Now().Before(c.deadline) && c.state.retries.Withdraw()
+	if !time.Now().Before(c.deadline) {
+		return false
+	}
+	return result.sparesTarget() || c.state.retries.Withdraw()
+}
+
+// sparesTarget reports whether a refusal cost its target nothing and says nothing
+// about load, so that trying elsewhere needs no budget.
+func (r Result) sparesTarget() bool {
+	return r.Outcome == Refused && (r.Reason == ReasonDraining || r.Reason == ReasonNoTarget)
 }
 
 func (c *call) pick() *picker.Target {
--- a/internal/call/retrier/retrier.go
+++ b/internal/call/retrier/retrier.go
@@ -27,28 +27,28 @@
 	hedgeDelayFactor = 1.2
 )
 
-// Budget allows a share of the calls to be repeated. The zero value allows none.
+// Budget allows a share of the calls to be repeated, after a burst at the start.
 type Budget struct {
 	Share float64
 
-	tokens atomic.Int64
+	spent atomic.Int64 // of the burst
 }
 
 // Deposit adds the share of one call.
 func (b *Budget) Deposit() {
-	if b.tokens.Load() < budgetBurst*milli {
-		b.tokens.Add(int64(b.Share * milli))
+	if b.spent.Load() > 0 {
+		b.spent.Add(-int64(b.Share * milli))
 	}
 }
 
 // Withdraw spends one attempt, if there is one.
 func (b *Budget) Withdraw() bool {
 	for {
-		have := b.tokens.Load()
-		if have < milli {
+		spent := b.spent.Load()
+		if spent+milli > budgetBurst*milli {
 			return false
 		}
-		if b.tokens.CompareAndSwap(have, have-milli) {
+		if b.spent.CompareAndSwap(spent, spent+milli) {
 			return true
 		}
 	}
