--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: help build test lint format demo long measure-control measure-calls
+.PHONY: help build test lint format demo long mutations measure-control measure-calls
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /: /'
@@ -31,6 +31,9 @@
 long: ## run the randomised tests for long; SEED=N repeats a run, CHECKS=N sets its length
 	go test ./internal/mesh/gossiper ./internal/config/... ./internal/call/... -run Random -rapid.seed=$(SEED) -rapid.checks=$(CHECKS) -timeout 2h
 
+mutations: ## break rules one at a time; each must be caught by a test
+	.ci/mutations
+
 measure-control: ## measure convergence and control traffic
 	go run . measure control
 
--- /dev/null
+++ b/internal/call/deduper/deduper_test.go
@@ -0,0 +1,31 @@
+package deduper
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestVoidAndBegin(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var d Deduper
+	assert.Assert(t, d.Begin(now, "ran"))
+	assert.Assert(t, !d.Void(now, "ran"), "an attempt that began was voided")
+	assert.Assert(t, d.Void(now, "never"))
+	assert.Assert(t, d.Void(now, "never"), "voiding again gives the same proof")
+	assert.Assert(t, !d.Begin(now, "never"), "a voided attempt began")
+}
+
+func TestRetention(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var d Deduper
+	assert.Assert(t, d.Begin(now, "a"))
+	for minutes := range int(Retention / time.Minute) {
+		assert.Assert(t, !d.Begin(now.Add(time.Duration(minutes)*time.Minute), "a"))
+	}
+	d.Begin(now.Add(Retention), "b")
+	d.Begin(now.Add(2*Retention), "c")
+	d.Begin(now.Add(3*Retention), "d")
+	assert.Assert(t, d.Len() <= 2)
+}
--- a/internal/call/forwarder/back.go
+++ b/internal/call/forwarder/back.go
@@ -135,22 +135,25 @@
 	defer b.open.Add(-1)
 	started := time.Now()
 	address := string(request.Header.Peek(HeaderTarget))
-	class := readClass(request)
-	deadline := started.Add(timeLeft(request.Header.Peek(HeaderDeadline), longestWait))
+	admission := limiter.Request{
+		Class:    readClass(request),
+		Caller:   string(request.Header.Peek(HeaderCaller)),
+		Deadline: started.Add(timeLeft(request.Header.Peek(HeaderDeadline), longestWait)),
+	}
 	t, reason := b.find(address)
 	if t == nil {
 		b.Counter.Count("back_refused")
 		return refused(reason)
 	}
-	verdict := t.limit.Acquire(class, deadline)
+	verdict := t.limit.Acquire(admission)
 	if !verdict.Admitted {
 		b.Counter.Count("back_refused")
 		setLoad(response, t)
 		return Result{Outcome: Refused, Reason: ReasonBusy, RetryAfter: verdict.RetryAfter}
 	}
 	admitted := time.Now()
-	result := b.run(request, response, address, deadline)
-	t.limit.Release(class, time.Since(admitted))
+	result := b.run(request, response, address, admission.Deadline)
+	t.limit.Release(admission, time.Since(admitted))
 	setLoad(response, t)
 	b.Counter.Count("back_" + string(result.Outcome))
 	return result
@@ -194,7 +197,7 @@
 
 // toTarget strips what is between nodes only and names the target.
 func toTarget(request *fasthttp.Request, address string, deadline time.Time) {
-	for _, header := range []string{HeaderAttempt, HeaderService, HeaderTarget, HeaderClass, HeaderOnce} {
+	for _, header := range []string{HeaderAttempt, HeaderService, HeaderTarget, HeaderClass, HeaderOnce, HeaderCaller} {
 		request.Header.Del(header)
 	}
 	setTimeLeft(request, deadline)
--- a/internal/call/forwarder/front.go
+++ b/internal/call/forwarder/front.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"encoding/hex"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -107,6 +108,7 @@
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	view := f.view.Load()
+	ctx.Request.Header.Set(HeaderCaller, ctx.RemoteIP().String())
 	result := f.serve(view, &ctx.Request, &ctx.Response)
 	if result.Outcome != Answered {
 		result.write(&ctx.Response)
@@ -181,6 +183,9 @@
 		if result.Outcome == Answered {
 			return result
 		}
+		if result.Outcome == Refused && result.Reason == ReasonLost {
+			c.forget(target) // its connection was dead, the target itself may be sound
+		}
 		if !c.mayRepeat(result) {
 			return c.mustBeSafe(result)
 		}
@@ -226,6 +231,11 @@
 	return r.Outcome == Refused && (r.Reason == ReasonDraining || r.Reason == ReasonNoTarget)
 }
 
+// forget allows a target to be picked again.
+func (c *call) forget(target *picker.Target) {
+	c.tried = slices.DeleteFunc(c.tried, func(t *picker.Target) bool { return t == target })
+}
+
 func (c *call) pick() *picker.Target {
 	target := c.front.Policy.Pick(c.targets, c.tried, time.Now())
 	if target != nil {
--- a/internal/call/forwarder/outcome.go
+++ b/internal/call/forwarder/outcome.go
@@ -29,6 +29,7 @@
 	HeaderService  = "Mesh-Service"     // between nodes only
 	HeaderTarget   = "Mesh-Target"      // address of the target; between nodes only
 	HeaderClass    = "Mesh-Class"       // between nodes only
+	HeaderCaller   = "Mesh-Caller"      // IP address of the caller; between nodes only
 	HeaderOnce     = "Mesh-Once"        // set if the call must not be repeated; between nodes only
 	HeaderDeadline = "Mesh-Deadline-Ms" // time left
 	HeaderDepth    = "Mesh-Depth"       // levels of calls above this one
--- a/internal/call/limiter/limiter.go
+++ b/internal/call/limiter/limiter.go
@@ -50,16 +50,23 @@
 	return "bulk"
 }
 
+// Request is a call that asks for a slot.
+type Request struct {
+	Class    Class
+	Caller   string // shares of callers are kept apart by this
+	Deadline time.Time
+}
+
 // Verdict is the outcome of an admission.
 type Verdict struct {
 	Admitted   bool
 	RetryAfter time.Duration // when refused: a hint
 }
 
-// Policy decides who gets a slot. Every admitted call must be released once.
+// Policy decides who gets a slot. Every admitted request must be released once.
 type Policy interface {
-	Acquire(class Class, deadline time.Time) Verdict
-	Release(class Class, held time.Duration)
+	Acquire(request Request) Verdict
+	Release(request Request, held time.Duration)
 	Load() float64 // slots in use and calls waiting, as a share of the slots
 }
 
--- a/internal/call/limiter/queue.go
+++ b/internal/call/limiter/queue.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,14 +45,15 @@
 }
 
 type waiter struct {
-	class    Class
-	deadline time.Time
-	granted  chan struct{}
-	done     bool // granted or given up
+	request Request
+	until   time.Time
+	settled chan bool // whether it was admitted
+	done    bool      // settled or given up
 }
 
 // queue admits up to the number of slots and lets further calls wait, each class
-// in its own line, as long as their wait is likely to stay within bounds.
+// in its own line, as long as their wait is likely to stay within bounds. Within a
+// line the caller with the fewest slots goes first.
 type queue struct {
 	rules rules
 	slots int
@@ -59,13 +61,13 @@
 	mu        sync.Mutex
 	inUse     int
 	bulkInUse int
+	held      map[string]int // slots by caller
 	lines     [classCount][]*waiter
-	waiting   int
 	estimate  [classCount]time.Duration // mean time in a slot
 }
 
 func newQueue(slots int, r rules) *queue {
-	q := &queue{rules: r, slots: max(slots, 1)}
+	q := &queue{rules: r, slots: max(slots, 1), held: make(map[string]int)}
 	for i := range q.estimate {
 		q.estimate[i] = startEstimate
 	}
@@ -80,23 +82,23 @@
 }
 
 // Acquire waits for a slot until the deadline or the bound of the class.
-func (q *queue) Acquire(class Class, deadline time.Time) Verdict {
+func (q *queue) Acquire(request Request) Verdict {
 	now := time.Now()
 	q.mu.Lock()
-	if q.free(class) && q.ahead(class) == 0 {
-		q.take(class)
+	if q.free(request.Class) && q.ahead(request) == 0 {
+		q.take(request)
 		q.mu.Unlock()
 		return Verdict{Admitted: true}
 	}
-	expected := q.expected(class)
-	limit := q.limit(class, deadline.Sub(now))
-	if expected > limit || len(q.lines[q.line(class)]) >= q.rules.depth[class] {
+	expected := q.expected(request)
+	limit := q.limit(request.Class, request.Deadline.Sub(now))
+	if expected > limit || !q.makeRoom(request) {
 		q.mu.Unlock()
 		return Verdict{RetryAfter: expected}
 	}
-	w := &waiter{class: class, deadline: now.Add(limit), granted: make(chan struct{})}
-	q.lines[q.line(class)] = append(q.lines[q.line(class)], w)
-	q.waiting++
+	w := &waiter{request: request, until: now.Add(limit), settled: make(chan bool, 1)}
+	line := q.line(request.Class)
+	q.lines[line] = append(q.lines[line], w)
 	q.mu.Unlock()
 	return q.await(w, limit)
 }
@@ -105,18 +107,17 @@
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case <-w.granted:
-		return Verdict{Admitted: true}
+	case admitted := <-w.settled:
+		return Verdict{Admitted: admitted, RetryAfter: limit}
 	case <-timer.C:
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if w.done {
-		return Verdict{Admitted: true}
+		return Verdict{Admitted: <-w.settled, RetryAfter: limit}
 	}
-	w.done = true
-	q.waiting--
-	return Verdict{RetryAfter: q.expected(w.class)}
+	q.remove(w)
+	return Verdict{RetryAfter: q.expected(w.request)}
 }
 
 // free reports whether a slot is open to the class.
@@ -127,30 +128,70 @@
 	return class != ClassBulk || q.bulkInUse < q.rules.bulkMax
 }
 
-// ahead counts the waiting calls that go before a new one of the class.
-func (q *queue) ahead(class Class) int {
+// ahead counts the waiting calls that go before a new request. Of another caller
+// in the same line no more go before it than this caller has waiting, and one.
+func (q *queue) ahead(request Request) int {
 	count := 0
-	for i := range q.lines {
-		if Class(i) > q.line(class) {
-			break
-		}
-		for _, w := range q.lines[i] {
-			if !w.done {
-				count++
-			}
+	line := q.line(request.Class)
+	for i := range line {
+		count += len(q.lines[i])
+	}
+	if q.rules.oneQueue {
+		return len(q.lines[line])
+	}
+	waiting := q.waiting(line)
+	own := waiting[request.Caller]
+	for caller, n := range waiting {
+		if caller != request.Caller {
+			n = min(n, own+1)
 		}
+		count += n
 	}
 	return count
 }
 
-// expected estimates the wait of a new call of the class.
-func (q *queue) expected(class Class) time.Duration {
-	mean := q.estimate[class]
+func (q *queue) waiting(line Class) map[string]int {
+	if len(q.lines[line]) == 0 {
+		return nil
+	}
+	byCaller := make(map[string]int)
+	for _, w := range q.lines[line] {
+		byCaller[w.request.Caller]++
+	}
+	return byCaller
+}
+
+// makeRoom reports whether the line takes one more. A full line gives up the last
+// call of its heaviest caller for a caller that has fewer waiting.
+func (q *queue) makeRoom(request Request) bool {
+	line := q.line(request.Class)
+	if len(q.lines[line]) < q.rules.depth[request.Class] {
+		return true
+	}
+	if q.rules.oneQueue {
+		return false
+	}
+	waiting := q.waiting(line)
+	var last *waiter
+	for _, w := range q.lines[line] {
+		if last == nil || waiting[w.request.Caller] >= waiting[last.request.Caller] {
+			last = w
+		}
+	}
+	if waiting[last.request.Caller] <= waiting[request.Caller]+1 {
+		return false
+	}
+	q.settle(last, false)
+	return true
+}
+
+// expected estimates the wait of a new request.
+func (q *queue) expected(request Request) time.Duration {
 	slots := q.slots
-	if class == ClassBulk {
+	if request.Class == ClassBulk {
 		slots = q.rules.bulkMax
 	}
-	return mean * time.Duration(q.ahead(class)+1) / time.Duration(slots)
+	return q.estimate[request.Class] * time.Duration(q.ahead(request)+1) / time.Duration(slots)
 }
 
 // limit returns the longest wait that the class allows within the time left.
@@ -163,49 +204,79 @@
 	return min(left, max(minimumWait, time.Duration(bound*float64(q.estimate[class]))))
 }
 
-func (q *queue) take(class Class) {
+func (q *queue) take(request Request) {
 	q.inUse++
-	if class == ClassBulk {
+	q.held[request.Caller]++
+	if request.Class == ClassBulk {
 		q.bulkInUse++
 	}
+	if q.inUse > q.slots {
+		panic("more calls than slots")
+	}
 }
 
-// Release ends a call and hands its slot to the first that waits.
-func (q *queue) Release(class Class, held time.Duration) {
+// Release ends a call and hands its slot to the next that waits.
+func (q *queue) Release(request Request, held time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.inUse--
-	if class == ClassBulk {
+	q.held[request.Caller]--
+	if q.held[request.Caller] == 0 {
+		delete(q.held, request.Caller)
+	}
+	if request.Class == ClassBulk {
 		q.bulkInUse--
 	}
 	if q.inUse < 0 || q.bulkInUse < 0 {
 		panic("slot released twice")
 	}
-	q.estimate[class] += time.Duration(estimateWeight * float64(held-q.estimate[class]))
+	estimate := &q.estimate[request.Class]
+	*estimate += time.Duration(estimateWeight * float64(held-*estimate))
 	q.grant(time.Now())
 }
 
+// grant fills the open slots, critical calls first.
 func (q *queue) grant(now time.Time) {
-	for i := range q.lines {
-		line := q.lines[i]
-		for len(line) > 0 && q.inUse < q.slots {
-			w := line[0]
-			if !w.done && !q.free(w.class) {
+	for line := range q.lines {
+		for q.inUse < q.slots {
+			w := q.next(Class(line), now)
+			if w == nil {
 				break
 			}
-			line = line[1:]
-			if w.done {
-				continue
-			}
-			if w.deadline.Before(now) {
-				continue // its timer is about to end its wait
-			}
-			w.done = true
-			q.waiting--
-			q.take(w.class)
-			close(w.granted)
+			q.take(w.request)
+			q.settle(w, true)
 		}
-		q.lines[i] = line
+	}
+}
+
+// next returns the waiting call of a line whose caller has the fewest slots, the
+// earliest among equals. A call whose time is up is left to its own timer.
+func (q *queue) next(line Class, now time.Time) *waiter {
+	var best *waiter
+	for _, w := range q.lines[line] {
+		if w.until.Before(now) || !q.free(w.request.Class) {
+			continue
+		}
+		if q.rules.oneQueue {
+			return w
+		}
+		if best == nil || q.held[w.request.Caller] < q.held[best.request.Caller] {
+			best = w
+		}
+	}
+	return best
+}
+
+func (q *queue) settle(w *waiter, admitted bool) {
+	q.remove(w)
+	w.settled <- admitted
+}
+
+func (q *queue) remove(w *waiter) {
+	w.done = true
+	line := q.line(w.request.Class)
+	if i := slices.Index(q.lines[line], w); i >= 0 {
+		q.lines[line] = slices.Delete(q.lines[line], i, i+1)
 	}
 }
 
@@ -213,5 +284,9 @@
 func (q *queue) Load() float64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return float64(q.inUse+q.waiting) / float64(q.slots)
+	waiting := 0
+	for _, line := range q.lines {
+		waiting += len(line)
+	}
+	return float64(q.inUse+waiting) / float64(q.slots)
 }
--- a/internal/call/limiter/unlimited.go
+++ b/internal/call/limiter/unlimited.go
@@ -12,13 +12,13 @@
 }
 
 // Acquire always admits.
-func (u *Unlimited) Acquire(Class, time.Time) Verdict {
+func (u *Unlimited) Acquire(Request) Verdict {
 	u.inUse.Add(1)
 	return Verdict{Admitted: true}
 }
 
 // Release ends a call.
-func (u *Unlimited) Release(Class, time.Duration) { u.inUse.Add(-1) }
+func (u *Unlimited) Release(Request, time.Duration) { u.inUse.Add(-1) }
 
 // Load returns the calls open as a share of the slots.
 func (u *Unlimited) Load() float64 { return float64(u.inUse.Load()) / float64(max(u.slots, 1)) }
--- a/internal/cli/commander/measure.go
+++ b/internal/cli/commander/measure.go
@@ -35,7 +35,11 @@
 	case "control":
 		return measureControl(e)
 	case "calls":
-		return e.usage("not yet")
+		m := measurer.Calls{Seed: e.seed, Out: e.out}
+		if err := m.Run(); err != nil {
+			return e.fail(exitFailure, err)
+		}
+		return exitOK
 	}
 	return e.usage("measure takes 'control' or 'calls'")
 }
--- a/internal/cli/commander/scenario_test.go
+++ b/internal/cli/commander/scenario_test.go
@@ -215,20 +215,16 @@
 		Kinds:     driver.Mixes["viti"][:2],
 		Seed:      1,
 	}
-	d.Prepare()
-	loaded := make(chan struct{})
-	go func() {
-		defer close(loaded)
-		d.Run(4*time.Second, driver.Constant(150))
-	}()
+	loaded := make(chan *driver.Window)
+	go func() { loaded <- d.Run(4*time.Second, 150) }()
 	time.Sleep(500 * time.Millisecond)
 	assert.Equal(t, daemons[2].stop(t), 0, daemons[2].output.String())
-	<-loaded
+	window := <-loaded
 	executions := make(map[string]int)
 	for _, target := range targets {
 		target.Executions(executions)
 	}
-	for _, tally := range d.Tallies() {
+	for _, tally := range window.Tallies() {
 		assert.Equal(t, tally.Answered, tally.Sent(), "%s: %+v", tally.Kind.Name, tally)
 	}
 	assert.Assert(t, !d.Audit(executions).Broken())
--- a/internal/demo/driver/driver.go
+++ b/internal/demo/driver/driver.go
@@ -48,9 +48,31 @@
 	Failed    int64 // no outcome: the connection to the node failed
 	Late      int64
 	Wrong     int64                   // another caller's answer, or a part of one
-	Histogram *hdrhistogram.Histogram // of answered calls, in microseconds
+	Histogram *hdrhistogram.Histogram // latency of answered calls, in microseconds
+	Waits     *hdrhistogram.Histogram // the same without the call's own work
 }
 
+// Window holds the tallies of the calls that were due in one stretch of time.
+type Window struct {
+	mu      sync.Mutex
+	tallies []*Tally
+}
+
+func newWindow(kinds []Kind) *Window {
+	w := &Window{}
+	for _, kind := range kinds {
+		w.tallies = append(w.tallies, &Tally{
+			Kind:      kind,
+			Histogram: hdrhistogram.New(1, maxLatency.Microseconds(), digits),
+			Waits:     hdrhistogram.New(1, maxLatency.Microseconds(), digits),
+		})
+	}
+	return w
+}
+
+// Tallies returns the counts of each kind. Read them after Wait.
+func (w *Window) Tallies() []*Tally { return w.tallies }
+
 // Sent returns the number of calls.
 func (t *Tally) Sent() int64 { return t.Answered + t.Refused + t.Unknown + t.Failed + t.Wrong }
 
@@ -65,55 +87,61 @@
 	Distance  time.Duration // one way between callers and nodes
 	Kinds     []Kind
 	Seed      uint64
+	Direct    bool // Addresses are targets, without a mesh in between
 
 	mu       sync.Mutex
 	clients  map[string]*fasthttp.HostClient
-	tallies  map[string]*Tally
 	outcomes map[string]forwarder.Outcome // of calls that must not run twice
 	serial   atomic.Uint64
 	pending  sync.WaitGroup
 }
 
-// Prepare readies the driver and clears earlier tallies; outcomes are kept.
-func (d *Driver) Prepare() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.clients == nil {
-		d.clients = make(map[string]*fasthttp.HostClient)
-		d.outcomes = make(map[string]forwarder.Outcome)
-	}
-	d.tallies = make(map[string]*Tally)
-	for _, kind := range d.Kinds {
-		d.tallies[kind.Name] = &Tally{Kind: kind, Histogram: hdrhistogram.New(1, maxLatency.Microseconds(), digits)}
-	}
+// Run sends calls at a steady rate and waits for all of them to end.
+func (d *Driver) Run(duration time.Duration, rate float64) *Window {
+	window := d.Send(duration, rate)
+	d.Wait()
+	return window
 }
 
-// Run sends calls at rate, which depends on the time since the start, and waits
-// for all of them to end.
-func (d *Driver) Run(duration time.Duration, rate func(time.Duration) float64) {
+// Wait waits for all calls to end.
+func (d *Driver) Wait() { d.pending.Wait() }
+
+// Send sends calls at a steady rate, as an open loop with random arrivals. Calls may
+// go on after it returns.
+func (d *Driver) Send(duration time.Duration, rate float64) *Window {
+	window := newWindow(d.Kinds)
 	rng := rand.New(rand.NewPCG(d.Seed, d.serial.Load()))
 	start := time.Now()
 	due := time.Duration(0)
 	for due < duration {
-		due += time.Duration(rng.ExpFloat64() / rate(due) * float64(time.Second))
+		due += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
 		if pause := due - time.Since(start); pause > sleepQuantum {
 			time.Sleep(pause)
 		}
-		kind := d.choose(rng)
-		address := d.Addresses[rng.IntN(len(d.Addresses))]
-		work := workTime(kind, rng)
-		intended := start.Add(due)
-		d.pending.Go(func() { d.call(kind, address, work, intended) })
+		chosen := d.choose(rng)
+		p := plan{
+			window:   window,
+			tally:    window.tallies[chosen],
+			address:  d.Addresses[rng.IntN(len(d.Addresses))],
+			work:     workTime(&d.Kinds[chosen], rng),
+			intended: start.Add(due),
+		}
+		d.pending.Go(func() { d.call(&p) })
 	}
-	d.pending.Wait()
+	return window
 }
 
-// Constant returns a steady rate.
-func Constant(rate float64) func(time.Duration) float64 {
-	return func(time.Duration) float64 { return rate }
+// plan is one call to be made.
+type plan struct {
+	window   *Window
+	tally    *Tally
+	address  string
+	work     time.Duration
+	intended time.Time
 }
 
-func (d *Driver) choose(rng *rand.Rand) *Kind {
+// choose returns the index of a random kind by weight.
+func (d *Driver) choose(rng *rand.Rand) int {
 	total := 0.0
 	for i := range d.Kinds {
 		total += d.Kinds[i].Weight
@@ -122,10 +150,10 @@
 	for i := range d.Kinds {
 		point -= d.Kinds[i].Weight
 		if point < 0 {
-			return &d.Kinds[i]
+			return i
 		}
 	}
-	return &d.Kinds[len(d.Kinds)-1]
+	return len(d.Kinds) - 1
 }
 
 func workTime(kind *Kind, rng *rand.Rand) time.Duration {
@@ -139,6 +167,9 @@
 func (d *Driver) client(address string) *fasthttp.HostClient {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.clients == nil {
+		d.clients = make(map[string]*fasthttp.HostClient)
+	}
 	client := d.clients[address]
 	if client == nil {
 		client = &fasthttp.HostClient{
@@ -149,60 +180,78 @@
 	return client
 }
 
-func (d *Driver) call(kind *Kind, address string, work time.Duration, intended time.Time) {
+func (d *Driver) call(p *plan) {
+	kind := &p.tally.Kind
 	id := fmt.Sprintf("%d-%d", d.Seed, d.serial.Add(1))
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(kind.Method)
-	request.SetRequestURI("http://" + address + kind.Path)
+	request.SetRequestURI("http://" + p.address + kind.Path)
 	request.Header.Set(responder.HeaderRequest, id)
-	request.Header.Set(responder.HeaderWork, strconv.FormatInt(work.Microseconds(), 10))
+	request.Header.Set(responder.HeaderWork, strconv.FormatInt(p.work.Microseconds(), 10))
 	time.Sleep(d.Distance)
-	err := d.client(address).DoTimeout(request, response, callerLimit)
+	err := d.client(p.address).DoTimeout(request, response, callerLimit)
 	time.Sleep(d.Distance)
-	d.record(kind, id, response, err, time.Since(intended))
+	latency := time.Since(p.intended)
+	outcome := d.outcome(response, err)
+	if kind.Once {
+		d.remember(id, outcome)
+	}
+	whole := responder.IsAnswer(response.Body(), id)
+	p.record(outcome, whole, latency)
+}
+
+// outcome reads what the caller was told; without an answer there is none.
+func (d *Driver) outcome(response *fasthttp.Response, err error) forwarder.Outcome {
+	if err != nil {
+		return ""
+	}
+	if d.Direct && response.StatusCode() == fasthttp.StatusOK {
+		return forwarder.Answered
+	}
+	return forwarder.Outcome(response.Header.Peek(forwarder.HeaderOutcome))
 }
 
-func (d *Driver) record(kind *Kind, id string, response *fasthttp.Response, err error, latency time.Duration) {
-	outcome := forwarder.Outcome(response.Header.Peek(forwarder.HeaderOutcome))
+func (d *Driver) remember(id string, outcome forwarder.Outcome) {
+	if outcome == "" {
+		outcome = forwarder.Unknown
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	tally := d.tallies[kind.Name]
-	if kind.Once {
-		d.outcomes[id] = outcome
-		if err != nil {
-			d.outcomes[id] = forwarder.Unknown
-		}
+	if d.outcomes == nil {
+		d.outcomes = make(map[string]forwarder.Outcome)
 	}
+	d.outcomes[id] = outcome
+}
+
+func (p *plan) record(outcome forwarder.Outcome, whole bool, latency time.Duration) {
+	p.window.mu.Lock()
+	defer p.window.mu.Unlock()
+	t := p.tally
 	switch {
-	case err != nil || outcome == "":
-		tally.Failed++
+	case outcome == "":
+		t.Failed++
 	case outcome == forwarder.Refused:
-		tally.Refused++
+		t.Refused++
 	case outcome == forwarder.Unknown:
-		tally.Unknown++
-	case !responder.IsAnswer(response.Body(), id):
-		tally.Wrong++
+		t.Unknown++
+	case !whole:
+		t.Wrong++
 	default:
-		tally.Answered++
-		_ = tally.Histogram.RecordValue(min(latency, maxLatency).Microseconds()) // within range by min
-		if kind.Late > 0 && latency > kind.Late {
-			tally.Late++
+		t.Answered++
+		record(t.Histogram, latency)
+		record(t.Waits, latency-p.work)
+		if t.Kind.Late > 0 && latency > t.Kind.Late {
+			t.Late++
 		}
 	}
 }
 
-// Tallies returns the counts of each kind, in the order of Kinds.
-func (d *Driver) Tallies() []*Tally {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var list []*Tally
-	for _, kind := range d.Kinds {
-		list = append(list, d.tallies[kind.Name])
-	}
-	return list
+func record(histogram *hdrhistogram.Histogram, value time.Duration) {
+	value = min(max(value, time.Microsecond), maxLatency)
+	_ = histogram.RecordValue(value.Microseconds()) // within range by min and max
 }
 
 // Audit compares outcomes with the executions that targets counted.
--- a/internal/demo/player/player.go
+++ b/internal/demo/player/player.go
@@ -51,6 +51,7 @@
 
 	mesh      *builder.Mesh
 	driver    *driver.Driver
+	window    *driver.Window
 	converged []convergence
 	faults    []string
 }
@@ -158,12 +159,11 @@
 	for _, host := range r.mesh.Hosts()[1:] {
 		r.driver.Addresses = append(r.driver.Addresses, host.Node.CallAddress())
 	}
-	r.driver.Prepare()
 	r.printf("demo: sending %d calls a second for %s", callsPerSecond, loadTime)
 	loaded := make(chan struct{})
 	go func() {
 		defer close(loaded)
-		r.driver.Run(loadTime, driver.Constant(callsPerSecond))
+		r.window = r.driver.Run(loadTime, callsPerSecond)
 	}()
 	time.Sleep(changeAt)
 	if err := r.change(); err != nil {
@@ -251,7 +251,7 @@
 	}
 	w := tabwriter.NewWriter(r.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(w, "call\tsent\tanswered\trefused\tunknown\tcut\twrong\tlate\tp50 ms\tp99 ms\t")
-	for _, t := range r.driver.Tallies() {
+	for _, t := range r.window.Tallies() {
 		wrong += t.Wrong
 		failed += t.Failed
 		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", t.Kind.Name, t.Sent(), t.Answered, t.Refused,
--- a/internal/demo/responder/responder.go
+++ b/internal/demo/responder/responder.go
@@ -50,7 +50,7 @@
 	Service string
 	Slots   int
 	Connect time.Duration // cost of a new connection
-	Admin   string        // admin address of the node on its host
+	Admin   string        // admin address of the node on its host; empty to announce nothing
 }
 
 // Target is a running stand-in.
@@ -85,6 +85,9 @@
 	t.behaviour.Store(&Behaviour{})
 	t.server = &fasthttp.Server{Handler: t.handle, NoDefaultServerHeader: true, CloseOnShutdown: true, Logger: silent{}}
 	go func() { _ = t.server.Serve(&slowListener{Listener: listener, delay: config.Connect}) }()
+	if config.Admin == "" {
+		return t, t.Stop, nil
+	}
 	if err := t.Announce(messenger.Serving); err != nil {
 		t.Stop()
 		return nil, nil, err
--- a/internal/mesh/gossiper/core_test.go
+++ b/internal/mesh/gossiper/core_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"clementinerock/internal/config/compiler"
+	"clementinerock/internal/config/indexer"
 )
 
 func TestConvergenceIsReported(t *testing.T) {
@@ -33,3 +36,113 @@
 		})
 	}
 }
+
+func newAlone(t *testing.T) (*network, *Core) {
+	t.Helper()
+	n := newNetwork(1)
+	n.start("n000", "z0", "r0")
+	return n, n.cores["n000"]
+}
+
+func activations(effects []Effect) (activated, refused int) {
+	for _, effect := range effects {
+		switch effect.(type) {
+		case Activate:
+			activated++
+		case Refuse:
+			refused++
+		}
+	}
+	return activated, refused
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	n, core := newAlone(t)
+	for _, step := range []struct {
+		version uint64
+		want    int
+	}{{2, 1}, {1, 0}, {2, 0}, {3, 1}} {
+		head, index := testVersion(step.version, 3, "op")
+		activated, _ := activations(core.Learn(n.now, head, index))
+		assert.Equal(t, activated, step.want, "version %d", step.version)
+	}
+	assert.Equal(t, core.Head().Version, uint64(3))
+}
+
+func TestFaultyVersionIsRefusedWhole(t *testing.T) {
+	head, index := testVersion(2, 3, "op")
+	items := index.Items()
+	lame, err := compiler.Decode(items[0].Data)
+	assert.NilError(t, err)
+	lame.Needs = []string{"service-9"}
+	cases := map[string]struct {
+		index indexer.Index
+		whole bool // the head names this very index
+	}{
+		"a part":                   {index: indexer.New(items[:2])},
+		"a need that is not there": {index: index.Apply(indexer.Delta{Set: []indexer.Item{{Name: lame.Service, Data: lame.Encode()}}}), whole: true},
+		"a contract misplaced":     {index: index.Apply(indexer.Delta{Set: []indexer.Item{{Name: "other", Data: items[1].Data}}}), whole: true},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			n, core := newAlone(t)
+			first, whole := testVersion(1, 3, "op")
+			core.Learn(n.now, first, whole)
+			bad := head
+			if test.whole {
+				bad.Root = test.index.Root()
+			}
+			activated, refused := activations(core.Learn(n.now, bad, test.index))
+			assert.Equal(t, activated, 0)
+			assert.Equal(t, refused, 1)
+			assert.Equal(t, core.Head().Version, uint64(1))
+		})
+	}
+}
+
+// TestPartedZoneIsKept cuts a zone off for an hour: its records stay, marked, on
+// both sides, and both get the newest version when they meet again.
+func TestPartedZoneIsKept(t *testing.T) {
+	n := newFilled(t, 1, 13, 3)
+	n.learn("n000", 1, 8)
+	inside := func(name string) bool { return n.cores[name].self.record.Machine.Zone == "z1" }
+	n.cut(func(a, b string) bool { return inside(a) != inside(b) })
+	n.learn("n000", 2, 8)
+	n.run(time.Hour)
+	for name, core := range n.cores {
+		assert.Equal(t, core.present(), 13, "%s forgot machines", name)
+		assert.Equal(t, n.force[name].Version == 2, !inside(name), "%s", name)
+	}
+	n.heal()
+	assert.Assert(t, n.until(30*time.Second, func() bool { return n.inForce(2) }), "version 2 is not in force everywhere")
+	assert.Assert(t, n.until(30*time.Second, n.agreed), "%s", n.disagreement())
+}
+
+func TestDeadMachineGoes(t *testing.T) {
+	n := newFilled(t, 1, 13, 3)
+	n.kill("n004")
+	assert.Assert(t, n.until(20*time.Second, n.agreed), "%s", n.disagreement())
+}
+
+func TestPausedMachineIsNotDead(t *testing.T) {
+	n := newFilled(t, 1, 13, 3)
+	n.pause("n004")
+	n.run(time.Minute)
+	clear(n.frozen)
+	assert.Assert(t, n.until(30*time.Second, n.agreed), "%s", n.disagreement())
+}
+
+func TestStartingNodeIsNotReadyBeforeItsVersion(t *testing.T) {
+	n := newFilled(t, 1, 4, 1)
+	core := n.cores["n000"]
+	assert.Assert(t, !core.Ready(), "ready without any version")
+	core.Hear(n.now, 5)
+	head, index := testVersion(4, 3, "op")
+	core.Learn(n.now, head, index)
+	assert.Assert(t, !core.Ready(), "ready below a version that it was told of")
+	head, index = testVersion(5, 3, "op")
+	core.Learn(n.now, head, index)
+	assert.Assert(t, core.Ready())
+	core.Hear(n.now, 6)
+	assert.Assert(t, core.Ready(), "a node that carries traffic goes on")
+}
--- a/internal/mesh/gossiper/view.go
+++ b/internal/mesh/gossiper/view.go
@@ -53,8 +53,11 @@
 func (c *Core) Linked() bool { return len(c.links) > 0 }
 
 // ReaderSlot returns which of the zone's reader leases this node may take, and
-// false if others come before it.
+// false if others come before it or it does not know the mesh yet.
 func (c *Core) ReaderSlot() (int, bool) {
+	if !c.syncer.joined {
+		return 0, false
+	}
 	before := 0
 	for _, key := range c.zone().keys {
 		if key != c.self.key && c.usable(key) && above(key, c.self.key) {
--- a/internal/mesh/reader/reader.go
+++ b/internal/mesh/reader/reader.go
@@ -24,7 +24,8 @@
 	leasePrefix = "readers/"
 	leaseTime   = 6 * time.Second
 	renewTime   = 2 * time.Second
-	heldPause   = 3 * time.Second // before a lease held by another is tried again
+	checkTime   = 200 * time.Millisecond // between looks at whether the node is eligible
+	heldPause   = 3 * time.Second        // before a lease held by another is tried again
 	minBackoff  = 250 * time.Millisecond
 	maxBackoff  = 5 * time.Second
 	watchTime   = 25 * time.Second
@@ -79,7 +80,7 @@
 
 func (r *Reader) keepLease(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := renewTime
+		pause := checkTime
 		slot, eligible := r.Node.ReaderSlot()
 		if !eligible {
 			r.holding.Store(false)
