--- a/internal/mesh/gossiper/core_test.go
+++ b/internal/mesh/gossiper/core_test.go
@@ -19,7 +19,7 @@
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
-			n := newFilled(t, 1, test.nodes, test.zones)
+			n := newFilled(t, test.nodes, test.zones)
 			n.learn("n000", 1, 8)
 			n.learn("n000", 2, 8)
 			assert.Assert(t, n.until(5*time.Second, func() bool { return n.inForce(2) }), "version 2 is not in force everywhere")
@@ -62,7 +62,7 @@
 		version uint64
 		want    int
 	}{{2, 1}, {1, 0}, {2, 0}, {3, 1}} {
-		head, index := testVersion(step.version, 3, "op")
+		head, index := testVersion(step.version, 3)
 		activated, _ := activations(core.Learn(n.now, head, index))
 		assert.Equal(t, activated, step.want, "version %d", step.version)
 	}
@@ -70,7 +70,7 @@
 }
 
 func TestFaultyVersionIsRefusedWhole(t *testing.T) {
-	head, index := testVersion(2, 3, "op")
+	head, index := testVersion(2, 3)
 	items := index.Items()
 	lame, err := compiler.Decode(items[0].Data)
 	assert.NilError(t, err)
@@ -86,7 +86,7 @@
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			n, core := newAlone(t)
-			first, whole := testVersion(1, 3, "op")
+			first, whole := testVersion(1, 3)
 			core.Learn(n.now, first, whole)
 			bad := head
 			if test.whole {
@@ -103,7 +103,7 @@
 // TestPartedZoneIsKept cuts a zone off for an hour: its records stay, marked, on
 // both sides, and both get the newest version when they meet again.
 func TestPartedZoneIsKept(t *testing.T) {
-	n := newFilled(t, 1, 13, 3)
+	n := newFilled(t, 13, 3)
 	n.learn("n000", 1, 8)
 	inside := func(name string) bool { return n.cores[name].self.record.Machine.Zone == "z1" }
 	n.cut(func(a, b string) bool { return inside(a) != inside(b) })
@@ -119,13 +119,13 @@
 }
 
 func TestDeadMachineGoes(t *testing.T) {
-	n := newFilled(t, 1, 13, 3)
+	n := newFilled(t, 13, 3)
 	n.kill("n004")
 	assert.Assert(t, n.until(20*time.Second, n.agreed), "%s", n.disagreement())
 }
 
 func TestPausedMachineIsNotDead(t *testing.T) {
-	n := newFilled(t, 1, 13, 3)
+	n := newFilled(t, 13, 3)
 	n.pause("n004")
 	n.run(time.Minute)
 	clear(n.frozen)
@@ -133,14 +133,14 @@
 }
 
 func TestStartingNodeIsNotReadyBeforeItsVersion(t *testing.T) {
-	n := newFilled(t, 1, 4, 1)
+	n := newFilled(t, 4, 1)
 	core := n.cores["n000"]
 	assert.Assert(t, !core.Ready(), "ready without any version")
 	core.Hear(n.now, 5)
-	head, index := testVersion(4, 3, "op")
+	head, index := testVersion(4, 3)
 	core.Learn(n.now, head, index)
 	assert.Assert(t, !core.Ready(), "ready below a version that it was told of")
-	head, index = testVersion(5, 3, "op")
+	head, index = testVersion(5, 3)
 	core.Learn(n.now, head, index)
 	assert.Assert(t, core.Ready())
 	core.Hear(n.now, 6)
--- a/internal/mesh/gossiper/network_test.go
+++ b/internal/mesh/gossiper/network_test.go
@@ -361,7 +361,7 @@
 }
 
 // testVersion returns a version whose contracts depend on number.
-func testVersion(version uint64, services int, operation string) (approver.Head, indexer.Index) {
+func testVersion(version uint64, services int) (approver.Head, indexer.Index) {
 	var items []indexer.Item
 	for i := range services {
 		contract := compiler.Contract{
@@ -375,22 +375,22 @@
 			}},
 		}
 		if uint64(i) == version%uint64(services) {
-			contract.Contact = fmt.Sprintf("%s-%d", operation, version)
+			contract.Contact = fmt.Sprintf("contact-%d", version)
 		}
 		items = append(items, indexer.Item{Name: contract.Service, Data: contract.Encode()})
 	}
 	index := indexer.New(items)
-	return approver.Head{Version: version, Root: index.Root(), Operation: operation}, index
+	return approver.Head{Version: version, Root: index.Root(), Operation: "op"}, index
 }
 
 func (n *network) learn(name string, version uint64, services int) {
-	head, index := testVersion(version, services, "op")
+	head, index := testVersion(version, services)
 	n.perform(name, n.cores[name].Learn(n.now, head, index))
 }
 
-func newFilled(t *testing.T, seed uint64, count, zones int) *network {
+func newFilled(t *testing.T, count, zones int) *network {
 	t.Helper()
-	n := newNetwork(seed)
+	n := newNetwork(1)
 	n.fill(count, zones)
 	if !n.until(time.Minute, n.agreed) {
 		t.Fatalf("%d nodes did not find one another", count)
--- a/internal/mesh/gossiper/scale_test.go
+++ b/internal/mesh/gossiper/scale_test.go
@@ -117,7 +117,7 @@
 				before := heapBytes()
 				core := scaleCore(1, now)
 				for version := range uint64(keptVersions) {
-					head, index := testVersion(version+1, services, "op")
+					head, index := testVersion(version+1, services)
 					core.Learn(now, head, index)
 				}
 				b.ReportMetric(float64(heapBytes()-before)/(1<<20), "MB")
@@ -164,7 +164,7 @@
 func BenchmarkVersion(b *testing.B) {
 	now := time.UnixMilli(1_700_000_000_000)
 	core := scaleCore(1_500, now)
-	head, index := testVersion(1, scaleServices, "op")
+	head, index := testVersion(1, scaleServices)
 	core.Learn(now, head, index)
 	version := uint64(1)
 	for b.Loop() {
