Split large files and let a broken invariant stop the process at once

Change: long-lived goroutines use sync.WaitGroup; links, seeds, dumps and the scenarios of the call measurement have files of their own; seeds are fixed in one place.

--- /dev/null
+++ b/internal/check/seeder/seeder.go
@@ -0,0 +1,27 @@
+// Package seeder gives randomised tests a fixed seed and length, unless the command
+// line names others.
+package seeder
+
+import "flag"
+
+const fixedSeed = "1"
+
+// Fix sets the seed and the number of checks of rapid. Call it from TestMain. An empty
+// number keeps rapid's own.
+func Fix(checks string) {
+	flag.Parse()
+	set("rapid.seed", fixedSeed)
+	if checks != "" {
+		set("rapid.checks", checks)
+	}
+}
+
+func set(name, value string) {
+	f := flag.Lookup(name)
+	if f == nil || f.Value.String() != f.DefValue {
+		return
+	}
+	if err := f.Value.Set(value); err != nil {
+		panic(err)
+	}
+}
--- a/internal/config/indexer/index_test.go
+++ b/internal/config/indexer/index_test.go
@@ -5,12 +5,20 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"clementinerock/internal/check/seeder"
 )
 
+func TestMain(m *testing.M) {
+	seeder.Fix("")
+	os.Exit(m.Run())
+}
+
 func randomItems(rt *rapid.T, label string) []Item {
 	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 0, 40, rapid.ID[string]).Draw(rt, label)
 	var items []Item
--- a/internal/mesh/linker/linker.go
+++ b/internal/mesh/linker/linker.go
@@ -56,7 +56,7 @@
 	listener    *quic.Listener
 	counter     *countingConn
 	ctx         context.Context
-	tasks       conc.WaitGroup
+	tasks       sync.WaitGroup
 
 	mu     sync.Mutex // guards changes of links; events are sent in their order
 	links  atomic.Pointer[linkMap]
--- a/internal/mesh/reader/reader.go
+++ b/internal/mesh/reader/reader.go
@@ -7,11 +7,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"clementinerock/internal/config/approver"
@@ -66,7 +66,7 @@
 func New(store Store, node Node, machine messenger.Machine, log *zap.Logger) (*Reader, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Reader{Store: store, Node: node, Machine: machine, Log: log, wake: make(chan struct{}, 1)}
-	var tasks conc.WaitGroup
+	var tasks sync.WaitGroup
 	tasks.Go(func() { r.keepLease(ctx) })
 	tasks.Go(func() { r.watch(ctx) })
 	return r, func() {
--- a/internal/node/runner/node.go
+++ b/internal/node/runner/node.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/call/router"
 	"clementinerock/internal/config/approver"
-	"clementinerock/internal/config/compiler"
 	"clementinerock/internal/config/indexer"
 	"clementinerock/internal/mesh/gossiper"
 	"clementinerock/internal/mesh/linker"
@@ -86,7 +86,7 @@
 	calls   string
 
 	ctx   context.Context
-	tasks conc.WaitGroup
+	tasks sync.WaitGroup
 }
 
 // New starts a node. The clean-up function stops it at once; call Leave first for
@@ -252,72 +252,6 @@
 	return s.slot, s.eligible
 }
 
-// seek dials unknown peers: those in the settings and, if none of them answers,
-// those that the store names.
-func (n *Node) seek() {
-	if !n.seeking.CompareAndSwap(false, true) {
-		return
-	}
-	n.tasks.Go(func() {
-		defer n.seeking.Store(false)
-		dialed := n.dialUnknown(n.peers)
-		if dialed > 0 && !sleepOrDone(n.ctx, seekTimeout) {
-			return
-		}
-		if dialed == 0 || !n.linked() {
-			n.seekStore()
-		}
-	})
-}
-
-func (n *Node) linked() bool {
-	linked := false
-	n.ask(func(c *control) { linked = c.core.Links() > 0 })
-	return linked
-}
-
-// dialUnknown dials a few of the addresses that no known machine has.
-func (n *Node) dialUnknown(addresses []string) int {
-	var unknown []string
-	n.ask(func(c *control) {
-		for _, address := range addresses {
-			if !c.core.Knows(address) {
-				unknown = append(unknown, address)
-			}
-		}
-	})
-	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
-	unknown = unknown[:min(len(unknown), seedDials)]
-	for _, address := range unknown {
-		n.links.DialAddress(address)
-	}
-	return len(unknown)
-}
-
-func (n *Node) seekStore() {
-	ctx, cancel := context.WithTimeout(n.ctx, seekTimeout)
-	defer cancel()
-	addresses, err := reader.Seeds(ctx, n.store, n.machine.Name)
-	if err != nil {
-		n.log.Warn("control: seeds not read", zap.Error(err))
-		return
-	}
-	n.dialUnknown(addresses)
-}
-
-const seedDials = 3 // seeds dialed at once
-
-func sleepOrDone(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Announce takes in what a target says of itself.
 func (n *Node) Announce(target messenger.Target) { n.post(announced{target: target}) }
 
@@ -376,64 +310,3 @@
 	n.ask(func(c *control) { c.perform(c.core.Leave(time.Now())) })
 	return nil
 }
-
-// State is the dump of a node's process.
-type State struct {
-	Control  gossiper.State   `json:"control"`
-	Status   gossiper.Status  `json:"status"`
-	Reader   bool             `json:"reader"`
-	Routes   int              `json:"routes"`
-	Targets  []TargetState    `json:"targets"`
-	Attempts int              `json:"attemptsRemembered"`
-	OpenHere int              `json:"callsOpen"`
-	Sent     uint64           `json:"controlBytesSent"`
-	Received uint64           `json:"controlBytesReceived"`
-	Counts   map[string]int64 `json:"counts"`
-}
-
-// TargetState is what the callers' side knows of a target.
-type TargetState struct {
-	Service  string        `json:"service"`
-	Node     string        `json:"node"`
-	Address  string        `json:"address"`
-	InFlight int           `json:"inFlight"`
-	Latency  time.Duration `json:"latencyNs"`
-	Load     float64       `json:"load"`
-	Ejected  bool          `json:"ejected"`
-}
-
-// Dump returns the state of the whole process.
-func (n *Node) Dump() State {
-	var state State
-	n.ask(func(c *control) {
-		state.Control = c.core.Dump()
-		state.Status = c.core.Status()
-	})
-	state.Reader = n.reader.Holding()
-	view := n.front.View()
-	now := time.Now()
-	for _, targets := range view.Targets {
-		for _, t := range targets {
-			state.Targets = append(state.Targets, TargetState{
-				Service: t.Service, Node: t.Node, Address: t.Listen,
-				InFlight: t.InFlight(), Latency: t.Latency(now), Load: t.Load(now), Ejected: t.Ejected(now),
-			})
-		}
-	}
-	for _, contract := range n.contracts() {
-		state.Routes += len(contract.Routes)
-	}
-	state.Attempts = n.back.Attempts()
-	state.OpenHere = n.front.Open()
-	state.Sent, state.Received = n.Traffic()
-	state.Counts = n.metrics.Snapshot()
-	return state
-}
-
-func (n *Node) contracts() []compiler.Contract {
-	contracts, err := approver.Contracts(n.current.Load().index)
-	if err != nil {
-		return nil
-	}
-	return contracts
-}
