Make the fault runs repeat exactly and test the links' identities

Cause: a fixed seed did not give the same run, since some loops went over maps; links had no test of their own. Change: those loops go in key order; a test plays a run twice and compares every node's messages and bytes; tests of links between machines of two authorities, under another name, and dialed by both sides at once.

--- a/internal/mesh/gossiper/core_test.go
+++ b/internal/mesh/gossiper/core_test.go
@@ -146,3 +146,23 @@
 	core.Hear(n.now, 6)
 	assert.Assert(t, core.Ready(), "a node that carries traffic goes on")
 }
+
+// TestSameSeedSameRun requires the decisions to depend on nothing but their inputs.
+func TestSameSeedSameRun(t *testing.T) {
+	play := func() (map[string]int, map[string]int) {
+		n := newNetwork(7)
+		n.fill(20, 3)
+		n.run(20 * time.Second)
+		n.learn("n003", 1, 8)
+		n.kill("n005")
+		n.pause("n006")
+		n.run(time.Minute)
+		clear(n.frozen)
+		n.run(time.Minute)
+		return n.sent, n.bytes
+	}
+	sent, bytes := play()
+	sentAgain, bytesAgain := play()
+	assert.DeepEqual(t, sent, sentAgain)
+	assert.DeepEqual(t, bytes, bytesAgain)
+}
--- a/internal/mesh/gossiper/network_test.go
+++ b/internal/mesh/gossiper/network_test.go
@@ -97,6 +97,20 @@
 	return names
 }
 
+func (n *network) sortedLinks() [][2]string {
+	links := make([][2]string, 0, len(n.links))
+	for link := range n.links {
+		links = append(links, link)
+	}
+	sort.Slice(links, func(i, j int) bool {
+		if links[i][0] != links[j][0] {
+			return links[i][0] < links[j][0]
+		}
+		return links[i][1] < links[j][1]
+	})
+	return links
+}
+
 func (n *network) after(delay time.Duration, run func()) {
 	n.serial++
 	heap.Push(&n.queue, delivery{due: n.now.Add(delay), serial: n.serial, run: run})
@@ -105,7 +119,7 @@
 // start starts a node. Links that an earlier process of that name left behind are
 // reset.
 func (n *network) start(name, zone, region string) {
-	for link := range n.links {
+	for _, link := range n.sortedLinks() {
 		if link[0] != name && link[1] != name {
 			continue
 		}
@@ -134,7 +148,8 @@
 // kill ends a node without a word. Its peers notice when their links time out.
 func (n *network) kill(name string) {
 	delete(n.cores, name)
-	for link, generation := range n.links {
+	for _, link := range n.sortedLinks() {
+		generation := n.links[link]
 		if link[0] == name || link[1] == name {
 			n.timeOut(link, generation)
 		}
@@ -271,7 +286,8 @@
 // pause freezes a node. Links that stay silent for too long time out.
 func (n *network) pause(name string) {
 	n.frozen[name] = true
-	for link, generation := range n.links {
+	for _, link := range n.sortedLinks() {
+		generation := n.links[link]
 		if link[0] != name && link[1] != name {
 			continue
 		}
@@ -288,7 +304,8 @@
 // cut parts the network and lets the links across it time out.
 func (n *network) cut(parted func(a, b string) bool) {
 	n.parted = parted
-	for link, generation := range n.links {
+	for _, link := range n.sortedLinks() {
+		generation := n.links[link]
 		if parted(link[0], link[1]) {
 			n.timeOut(link, generation)
 		}
--- a/internal/mesh/gossiper/random_test.go
+++ b/internal/mesh/gossiper/random_test.go
@@ -72,8 +72,8 @@
 	}
 	actions[rapid.IntRange(0, len(actions)-1).Draw(rt, "action")](rt)
 	w.run(time.Duration(rapid.IntRange(1, 30).Draw(rt, "ticks")) * testTick)
-	for _, core := range w.cores {
-		core.table.mustAgree()
+	for _, name := range w.names() {
+		w.cores[name].table.mustAgree()
 	}
 }
 
@@ -108,10 +108,9 @@
 }
 
 func (w *world) restart(*rapid.T) {
-	for name := range w.stopped {
-		delete(w.stopped, name)
-		w.revive(name)
-		return
+	if names := sortedNames(w.stopped); len(names) > 0 {
+		delete(w.stopped, names[0])
+		w.revive(names[0])
 	}
 }
 
--- a/internal/mesh/gossiper/spreader.go
+++ b/internal/mesh/gossiper/spreader.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -254,12 +255,15 @@
 // graft asks for offered records that did not arrive by themselves.
 func (c *Core) graft() {
 	wants := make(map[string][]messenger.Key)
-	count := 0
+	var due []messenger.Key
 	for key, offered := range c.spreader.missing {
-		if c.now.Before(offered.due) || count >= graftsPerTick {
-			continue
+		if !c.now.Before(offered.due) {
+			due = append(due, key)
 		}
-		count++
+	}
+	slices.Sort(due)
+	for _, key := range due[:min(len(due), graftsPerTick)] {
+		offered := c.spreader.missing[key]
 		delete(c.spreader.missing, key)
 		mine, known := c.table.members[key]
 		if known && !newer(offered.stamp, mine.record.Stamp) {
@@ -273,7 +277,6 @@
 			continue
 		}
 		l.lazy = false
-		sort.Slice(wants[peer], func(i, j int) bool { return wants[peer][i] < wants[peer][j] })
 		c.send(peer, messenger.Message{Want: wants[peer]})
 	}
 }
--- a/internal/mesh/gossiper/table.go
+++ b/internal/mesh/gossiper/table.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"clementinerock/internal/mesh/messenger"
@@ -190,15 +192,20 @@
 
 func fold(sum uint64) uint32 { return uint32(sum) ^ uint32(sum>>32) }
 
-// inBuckets calls visit for each present member of the given buckets.
+// inBuckets calls visit for each present member of the given buckets, by key.
 func (t *table) inBuckets(buckets []int, visit func(*member)) {
 	wanted := make(map[int]bool, len(buckets))
 	for _, b := range buckets {
 		wanted[b] = true
 	}
+	var found []*member
 	for key, m := range t.members {
 		if m.present() && wanted[bucketOf(key)] {
-			visit(m)
+			found = append(found, m)
 		}
 	}
+	slices.SortFunc(found, func(a, b *member) int { return cmp.Compare(a.key, b.key) })
+	for _, m := range found {
+		visit(m)
+	}
 }
--- /dev/null
+++ b/internal/mesh/linker/linker_test.go
@@ -0,0 +1,146 @@
+package linker
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"clementinerock/internal/mesh/messenger"
+	"clementinerock/internal/mesh/signer"
+)
+
+const eventTimeout = 10 * time.Second
+
+// recorder keeps what happens on the links of one machine.
+type recorder struct{ events chan string }
+
+func newRecorder() *recorder { return &recorder{events: make(chan string, 256)} }
+
+func (r *recorder) LinkUp(machine messenger.Machine, _ bool) { r.events <- "up " + machine.Name }
+func (r *recorder) LinkDown(name string, planned bool) {
+	if planned {
+		r.events <- "closed " + name
+		return
+	}
+	r.events <- "lost " + name
+}
+func (r *recorder) DialFailed(name string) { r.events <- "failed " + name }
+func (r *recorder) Probed(name string, alive bool) {
+	if alive {
+		r.events <- "alive " + name
+		return
+	}
+	r.events <- "silent " + name
+}
+
+func (r *recorder) Received(from string, message messenger.Message) {
+	if message.Ping != nil {
+		r.events <- "ping " + from
+	}
+}
+
+func (r *recorder) await(t *testing.T, want string) {
+	t.Helper()
+	deadline := time.After(eventTimeout)
+	for {
+		select {
+		case event := <-r.events:
+			if event == want {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("no event %q", want)
+		}
+	}
+}
+
+func newAuthority(t *testing.T) signer.Pair {
+	t.Helper()
+	authority, err := signer.NewAuthority(time.Now())
+	assert.NilError(t, err)
+	return authority
+}
+
+func open(t *testing.T, authority signer.Pair, name string) (*Linker, *recorder, messenger.Machine) {
+	t.Helper()
+	pair, err := signer.Issue(authority, name, time.Now())
+	assert.NilError(t, err)
+	identity, err := signer.NewIdentity(pair, authority.Certificate)
+	assert.NilError(t, err)
+	events := newRecorder()
+	machine := messenger.Machine{Name: name, Zone: "suva", Control: "127.0.0.1:0"}
+	l, cleanup, err := New(machine, 1, identity, events)
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	machine.Control = l.Address()
+	return l, events, machine
+}
+
+func TestLinkCarriesMessages(t *testing.T) {
+	authority := newAuthority(t)
+	a, aEvents, aMachine := open(t, authority, "a")
+	b, bEvents, bMachine := open(t, authority, "b")
+	a.Dial(bMachine)
+	aEvents.await(t, "up b")
+	bEvents.await(t, "up a")
+	assert.NilError(t, a.Send("b", &messenger.Message{Ping: &messenger.Ping{}}))
+	bEvents.await(t, "ping a")
+	b.Probe(aMachine)
+	bEvents.await(t, "alive a")
+	a.Close("b")
+	bEvents.await(t, "closed a")
+}
+
+func TestStrangersAreTurnedAway(t *testing.T) {
+	authority := newAuthority(t)
+	a, aEvents, _ := open(t, authority, "a")
+	_, _, stranger := open(t, newAuthority(t), "b")
+	a.Dial(stranger)
+	aEvents.await(t, "failed b")
+	_, _, other := open(t, authority, "c")
+	other.Name = "b"
+	a.Dial(other)
+	aEvents.await(t, "failed b")
+}
+
+func TestSimultaneousDialsLeaveOneLink(t *testing.T) {
+	authority := newAuthority(t)
+	a, aEvents, aMachine := open(t, authority, "a")
+	b, bEvents, bMachine := open(t, authority, "b")
+	a.Dial(bMachine)
+	b.Dial(aMachine)
+	aEvents.await(t, "up b")
+	bEvents.await(t, "up a")
+	// A message sent while one link replaces the other may be lost; a later one is not.
+	sendUntil(t, a, "b", bEvents, "ping a")
+	sendUntil(t, b, "a", aEvents, "ping b")
+	assert.Equal(t, len(*a.links.Load()), 1)
+	assert.Equal(t, len(*b.links.Load()), 1)
+}
+
+func sendUntil(t *testing.T, from *Linker, to string, events *recorder, want string) {
+	t.Helper()
+	for range 100 {
+		assert.NilError(t, from.Send(to, &messenger.Message{Ping: &messenger.Ping{}}))
+		select {
+		case event := <-events.events:
+			if event == want {
+				return
+			}
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	t.Fatalf("no event %q", want)
+}
+
+func TestSilencedMachineIsLost(t *testing.T) {
+	authority := newAuthority(t)
+	a, aEvents, _ := open(t, authority, "a")
+	b, _, bMachine := open(t, authority, "b")
+	a.Dial(bMachine)
+	aEvents.await(t, "up b")
+	b.Silence()
+	a.Probe(bMachine)
+	aEvents.await(t, "silent b")
+}
