--- a/internal/call/picker/picker.go
+++ b/internal/call/picker/picker.go
@@ -126,39 +126,6 @@
 	return math.Float64frombits(s.load.Load()) * math.Exp2(-age.Seconds()/loadAge.Seconds())
 }
 
-// Book keeps the statistics of targets across views, by machine and address.
-type Book struct {
-	byMachine map[string]map[string]*Stats
-}
-
-// Stats returns the statistics of a target, new ones if there are none.
-func (b *Book) Stats(machine, address string) *Stats {
-	if b.byMachine == nil {
-		b.byMachine = make(map[string]map[string]*Stats)
-	}
-	if b.byMachine[machine] == nil {
-		b.byMachine[machine] = make(map[string]*Stats)
-	}
-	s := b.byMachine[machine][address]
-	if s == nil {
-		s = &Stats{}
-		b.byMachine[machine][address] = s
-	}
-	return s
-}
-
-// Keep drops the statistics of a machine's targets but for the given addresses.
-func (b *Book) Keep(machine string, addresses map[string]bool) {
-	for address := range b.byMachine[machine] {
-		if !addresses[address] {
-			delete(b.byMachine[machine], address)
-		}
-	}
-	if len(b.byMachine[machine]) == 0 {
-		delete(b.byMachine, machine)
-	}
-}
-
 // Policy chooses among targets, none of which is in skip. It returns nil if there
 // is none.
 type Policy interface {
--- a/internal/node/runner/view.go
+++ b/internal/node/runner/view.go
@@ -12,69 +12,67 @@
 	"clementinerock/internal/mesh/messenger"
 )
 
-// catalog keeps the targets that may get calls, by service. Lists that were handed
-// out in a view are replaced and never changed.
+// catalog keeps the targets that may get calls. Lists that were handed out in a view
+// are replaced and never changed.
 type catalog struct {
 	own       messenger.Machine
-	book      picker.Book
 	byService map[string][]*picker.Target
-	services  map[string][]string // of a machine's targets, by machine
+	byMachine map[string][]*picker.Target
 }
 
 func newCatalog(own messenger.Machine) catalog {
 	return catalog{
 		own:       own,
 		byService: make(map[string][]*picker.Target),
-		services:  make(map[string][]string),
+		byMachine: make(map[string][]*picker.Target),
 	}
 }
 
-// update replaces the targets of one machine; a nil record takes them all out.
+// update replaces the targets of one machine; a nil record takes them all out. A
+// target that stays keeps its measurements.
 func (g *catalog) update(name string, record *messenger.Record) {
-	stale := g.services[name]
-	for _, service := range stale {
-		g.remove(service, name)
+	old := g.byMachine[name]
+	for _, t := range old {
+		g.remove(t)
 	}
-	delete(g.services, name)
-	keep := make(map[string]bool)
-	if record != nil {
-		for i := range record.Targets {
-			target := &record.Targets[i]
-			if target.State == messenger.Serving || target.State == messenger.Warming {
-				keep[target.Address] = true
-				g.add(record, target)
-			}
+	delete(g.byMachine, name)
+	if record == nil {
+		return
+	}
+	for i := range record.Targets {
+		target := &record.Targets[i]
+		if target.State == messenger.Serving || target.State == messenger.Warming {
+			g.add(record, target, old)
 		}
 	}
-	g.book.Keep(name, keep)
 }
 
-func (g *catalog) remove(service, name string) {
-	var rest []*picker.Target
-	for _, t := range g.byService[service] {
-		if t.Node != name {
+func (g *catalog) remove(target *picker.Target) {
+	list := g.byService[target.Service]
+	if len(list) <= 1 {
+		delete(g.byService, target.Service)
+		return
+	}
+	rest := make([]*picker.Target, 0, len(list))
+	for _, t := range list {
+		if t != target {
 			rest = append(rest, t)
 		}
 	}
-	if len(rest) == 0 {
-		delete(g.byService, service)
-		return
-	}
-	g.byService[service] = rest
+	g.byService[target.Service] = rest
 }
 
-// add puts in one target.
-func (g *catalog) add(record *messenger.Record, target *messenger.Target) {
-	name := record.Machine.Name
+func (g *catalog) add(record *messenger.Record, target *messenger.Target, old []*picker.Target) {
+	machine := &record.Machine
 	fresh := &picker.Target{
-		Stats:   g.book.Stats(name, target.Address),
+		Stats:   statsOf(target.Address, old),
 		Service: target.Service,
-		Node:    name,
-		Zone:    record.Machine.Zone,
-		Peer:    record.Machine.Peer,
+		Node:    machine.Name,
+		Zone:    machine.Zone,
+		Peer:    machine.Peer,
 		Listen:  target.Address,
-		Local:   name == g.own.Name,
-		Near:    record.Machine.Zone == g.own.Zone,
+		Local:   machine.Name == g.own.Name,
+		Near:    machine.Zone == g.own.Zone,
 		Slots:   target.Slots,
 		Warming: target.State == messenger.Warming,
 		Since:   time.UnixMilli(target.Since),
@@ -82,9 +80,16 @@
 	list := g.byService[target.Service]
 	at, _ := slices.BinarySearchFunc(list, fresh, func(a, b *picker.Target) int { return strings.Compare(a.Listen, b.Listen) })
 	g.byService[target.Service] = slices.Insert(slices.Clone(list), at, fresh)
-	if !slices.Contains(g.services[name], target.Service) {
-		g.services[name] = append(g.services[name], target.Service)
+	g.byMachine[machine.Name] = append(g.byMachine[machine.Name], fresh)
+}
+
+func statsOf(address string, targets []*picker.Target) *picker.Stats {
+	for _, t := range targets {
+		if t.Listen == address {
+			return t.Stats
+		}
 	}
+	return &picker.Stats{}
 }
 
 // buildView publishes a new view of the version in force and the targets known.
