Push small differences along the tree and report a zone once

Cause: a change cost each node 1,258 bytes at 13 nodes and 2,950 at 200, for a difference of 232: each zone reported before it was complete, and every node asked for the difference after it was announced. Calls to the store while nodes start grew with their number, 51 at 13 and 364 at 200, since nodes with a partial view tried for reader leases. Change: a zone's incomplete report waits 500 ms; along the spanning tree a difference up to 2 KB goes to peers that have its base without being asked for; a lease is tried after a second of being eligible.

--- a/internal/mesh/gossiper/reporter.go
+++ b/internal/mesh/gossiper/reporter.go
@@ -11,7 +11,7 @@
 const (
 	maxLaggards   = 8                      // named in one report
 	reportDelay   = 100 * time.Millisecond // gathers changes before a report is sent up
-	zoneDelay     = 500 * time.Millisecond // between incomplete reports of a zone
+	zoneDelay     = 500 * time.Millisecond // before and between incomplete reports of a zone
 	zoneRepeat    = 30 * time.Second       // a zone's report is repeated
 	lateReport    = 2 * time.Second        // a silent subtree is named after this
 	reasonNone    = "no report"
@@ -220,7 +220,7 @@
 	}
 	report := c.subtree()
 	complete := report.InForce >= c.zoneAlive()
-	if !complete && c.now.Sub(r.zoneAt) < zoneDelay {
+	if !complete && (c.now.Sub(r.zoneAt) < zoneDelay || c.now.Sub(c.versions.toldAt) < zoneDelay) {
 		return
 	}
 	r.stale = false
--- a/internal/mesh/gossiper/versions.go
+++ b/internal/mesh/gossiper/versions.go
@@ -15,6 +15,7 @@
 const (
 	keptVersions = 8                // versions that differences are served from
 	partBytes    = 32 << 10         // payload of one part
+	pushBytes    = 2 << 10          // largest difference sent without being asked for
 	fetchTimeout = 2 * time.Second  // before another peer is asked
 	refusedKeep  = 30 * time.Second // before a refused version is fetched again
 )
@@ -128,6 +129,7 @@
 	}
 	c.hear(head.Version)
 	before := v.head.Version
+	base := v.current()
 	v.head = head
 	v.past = append(v.past, held{head: head, index: index})
 	if len(v.past) > keptVersions {
@@ -141,7 +143,7 @@
 		}
 	}
 	c.emit(Activate{Head: head, Index: index, Contracts: contracts})
-	c.announceVersion(source)
+	c.announceVersion(source, before, base)
 	c.reporter.stale = true
 }
 
@@ -177,25 +179,35 @@
 	c.reporter.stale = true
 }
 
-// announceVersion tells the eager links; the others learn it from pings.
-func (c *Core) announceVersion(source string) {
+// announceVersion tells the eager links; the others learn it from pings. Along the
+// spanning tree a small difference is sent at once to peers that have its base.
+func (c *Core) announceVersion(source string, before uint64, base indexer.Index) {
+	v := &c.versions
+	delta := base.Diff(v.current())
 	for _, name := range c.linkNames() {
 		l := c.links[name]
-		if name == source || l.lazy || l.version >= c.versions.head.Version {
+		if name == source || l.lazy || l.version >= v.head.Version {
 			continue
 		}
-		c.send(name, messenger.Message{Version: c.versions.head.Version})
+		message := messenger.Message{Version: v.head.Version}
+		if c.planner.pinned[name] && l.version == before && delta.Bytes() <= pushBytes {
+			message.Part = cutPart(v.head, base.Root(), delta, "")
+			l.version = v.head.Version
+		}
+		c.send(name, message)
 	}
 }
 
 func (c *Core) receiveVersion(l *link, m *messenger.Message) {
+	if m.Part != nil && c.versions.fetch == nil {
+		c.receivePush(l, m.Part)
+	} else if m.Part != nil {
+		c.receivePart(l, m.Part)
+	}
 	c.learnVersion(l, m.Version)
 	if m.Fetch != nil {
 		c.servePart(l, m.Fetch)
 	}
-	if m.Part != nil {
-		c.receivePart(l, m.Part)
-	}
 	if m.Busy && c.versions.fetch != nil && c.versions.fetch.peer == l.name {
 		c.versions.fetch.asked = c.now
 	}
@@ -294,6 +306,17 @@
 	return part
 }
 
+// receivePush takes in a whole difference that was not asked for, if it applies to the
+// version in force.
+func (c *Core) receivePush(l *link, part *messenger.Part) {
+	v := &c.versions
+	if part.Gone || part.After != "" || part.Have != v.current().Root() || part.Head.Version <= v.head.Version {
+		return
+	}
+	l.version = max(l.version, part.Head.Version)
+	c.adopt(part.Head, v.current().Apply(part.Delta), l.name)
+}
+
 func (c *Core) receivePart(l *link, part *messenger.Part) {
 	v := &c.versions
 	f := v.fetch
--- a/internal/mesh/reader/reader.go
+++ b/internal/mesh/reader/reader.go
@@ -25,6 +25,7 @@
 	leaseTime   = 6 * time.Second
 	renewTime   = 2 * time.Second
 	checkTime   = 200 * time.Millisecond // between looks at whether the node is eligible
+	settleTime  = time.Second            // of being eligible before a lease is tried; nodes that start may be wrong
 	heldPause   = 3 * time.Second        // before a lease held by another is tried again
 	minBackoff  = 250 * time.Millisecond
 	maxBackoff  = 5 * time.Second
@@ -79,12 +80,17 @@
 func (r *Reader) Holding() bool { return r.holding.Load() }
 
 func (r *Reader) keepLease(ctx context.Context) {
+	var since time.Time // of being eligible
 	for ctx.Err() == nil {
 		pause := checkTime
 		slot, eligible := r.Node.ReaderSlot()
-		if !eligible {
+		switch {
+		case !eligible:
 			r.holding.Store(false)
-		} else {
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+		case time.Since(since) >= settleTime:
 			pause = r.tryLease(ctx, slot)
 		}
 		sleep(ctx, pause)
