--- a/internal/call/deduper/deduper.go
+++ b/internal/call/deduper/deduper.go
@@ -10,8 +10,11 @@
 // time that a call may wait.
 const Retention = 11 * time.Minute
 
-// Deduper remembers attempts. The zero value is ready to use.
+// Deduper remembers attempts. The zero value is ready to use and remembers them for
+// Retention.
 type Deduper struct {
+	Keep time.Duration // for which an attempt is remembered at least; 0 means Retention
+
 	mu      sync.Mutex
 	current map[string]state
 	old     map[string]state
@@ -66,7 +69,11 @@
 }
 
 func (d *Deduper) turn(now time.Time) {
-	if d.current != nil && now.Sub(d.turned) < Retention {
+	keep := d.Keep
+	if keep == 0 {
+		keep = Retention
+	}
+	if d.current != nil && now.Sub(d.turned) < keep {
 		return
 	}
 	d.old = d.current
--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -74,6 +74,7 @@
 var commands = []command{
 	demoCommand,
 	nodeCommand,
+	sidecarCommand,
 	storeCommand,
 	keysCommand,
 	questionnaireCommand,
--- /dev/null
+++ b/internal/cli/commander/sidecar.go
@@ -0,0 +1,77 @@
+package commander
+
+import (
+	"flag"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"clementinerock/internal/node/counter"
+	"clementinerock/internal/node/recorder"
+	"clementinerock/internal/proxy/runner"
+	"clementinerock/platform"
+)
+
+var sidecarCommand = command{
+	name:     "sidecar",
+	synopsis: "run the node of this host on the users' platform",
+	usage: `sidecar [-check]
+Runs until SIGTERM or SIGINT, then drains. The platform's environment variable names the
+settings file. With -check it only checks the settings. Exit code 3 if they are faulty.`,
+	flags: func(set *flag.FlagSet, o *options) {
+		set.BoolVar(&o.check, "check", false, "check the settings and stop")
+	},
+	action: runSidecar,
+}
+
+// sidecarGC trades processor time for memory, which has a price on these hosts.
+const sidecarGC = 50
+
+func runSidecar(e *env, args []string) int {
+	if len(args) > 0 {
+		return e.usage("sidecar takes no arguments")
+	}
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return e.fail(exitFault, err)
+	}
+	if e.check {
+		e.printf("settings are sound")
+		return exitOK
+	}
+	debug.SetGCPercent(sidecarGC)
+	log, dropped, flush := recorder.New(os.Stdout, zapcore.InfoLevel)
+	defer flush()
+	meter, stopMeter := counter.New()
+	defer stopMeter()
+	stop := make(chan struct{})
+	go handleSignals(log, stop)
+	node := runner.Node{Settings: settings, Log: log, Meter: meter, Dropped: dropped}
+	if err := node.Run(stop); err != nil {
+		log.Error("node: failed", zap.Error(err))
+		return e.fail(exitFailure, err)
+	}
+	return exitOK
+}
+
+// handleSignals closes stop on the first signal to end, and checks the settings again on
+// SIGHUP. What they say of addresses holds from the next start.
+func handleSignals(log *zap.Logger, stop chan<- struct{}) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stopped := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGHUP:
+			_, err := platform.ReadSettings()
+			log.Info("node: settings read again", zap.Error(err))
+		case !stopped:
+			stopped = true
+			close(stop)
+		}
+	}
+}
--- a/internal/node/counter/counter.go
+++ b/internal/node/counter/counter.go
@@ -17,11 +17,15 @@
 	reportInterval = time.Second
 )
 
+// latencyBuckets are the bounds of the histograms, from 1 ms to 8 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
 // Counter counts events by name.
 type Counter struct {
 	scope    tally.Scope
 	reporter prometheus.Reporter
 	totals   sync.Map // name to *total
+	times    sync.Map // name to tally.Histogram
 }
 
 type total struct {
@@ -57,6 +61,15 @@
 	t.metric.Inc(n)
 }
 
+// Observe adds a duration to the histogram of a name.
+func (c *Counter) Observe(name string, d time.Duration) {
+	known, ok := c.times.Load(name)
+	if !ok {
+		known, _ = c.times.LoadOrStore(name, c.scope.Histogram(name, latencyBuckets))
+	}
+	known.(tally.Histogram).RecordDuration(d)
+}
+
 // Gauge sets the gauge of a name.
 func (c *Counter) Gauge(name string, value float64) { c.scope.Gauge(name).Update(value) }
 
--- /dev/null
+++ b/internal/proxy/acceptor/acceptor.go
@@ -0,0 +1,366 @@
+// Package acceptor speaks HTTP/1.1 with clients and with the target of this host as a
+// caller.
+package acceptor
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"clementinerock/internal/proxy/carrier"
+	"clementinerock/internal/proxy/deliverer"
+	"clementinerock/internal/proxy/forwarder"
+	"clementinerock/internal/proxy/matcher"
+	"clementinerock/platform"
+)
+
+const (
+	smallHeader    = 4 << 10          // bytes of a connection's buffer to begin with
+	defaultHeaders = 16 << 10         // bytes, until a configuration says otherwise
+	defaultBody    = 64 << 20         // bytes, until a configuration says otherwise
+	defaultIdle    = 15 * time.Second // until a configuration says otherwise
+	defaultHeader  = 3 * time.Second
+	defaultLeft    = 30 * time.Second       // of a client that says no time limit; the route's timeout is shorter
+	idleMargin     = 500 * time.Millisecond // an idle connection is kept longer than promised
+	writeLimit     = 5 * time.Second
+	noConfigRetry  = 200 * time.Millisecond
+)
+
+// Forwarder brings requests to targets.
+type Forwarder interface {
+	Forward(request *forwarder.Request) forwarder.Result
+}
+
+// Acceptor serves clients.
+type Acceptor struct {
+	Log       *zap.Logger
+	Forwarder Forwarder
+	Table     func() *matcher.Table // the configuration in force, or nil
+
+	stopping atomic.Bool
+	open     atomic.Int64 // requests being served
+	mu       sync.Mutex
+	conns    map[*client]struct{}
+}
+
+// client is one connection of a client.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+	served bool // has carried a request
+	busy   atomic.Bool
+}
+
+// Start serves an address. The clean-up function closes all connections.
+func (a *Acceptor) Start(address string) (func(), error) {
+	a.conns = make(map[*client]struct{})
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, merry.Prepend(err, "listen for clients")
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				a.Log.Error("client: accept failed", zap.Error(err))
+				time.Sleep(10 * time.Millisecond) // out of descriptors: others must end first
+				continue
+			}
+			go a.serve(conn)
+		}
+	}()
+	return func() {
+		_ = listener.Close() // no more clients are wanted
+		a.closeAll()
+	}, nil
+}
+
+// Stop asks clients to go elsewhere: each answer from now on ends its connection.
+func (a *Acceptor) Stop() { a.stopping.Store(true) }
+
+// Open returns the number of requests being served.
+func (a *Acceptor) Open() int { return int(a.open.Load()) }
+
+func (a *Acceptor) closeAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		_ = c.Close() // the process ends
+	}
+}
+
+func (a *Acceptor) serve(raw net.Conn) {
+	c := &client{Conn: raw, reader: bufio.NewReaderSize(raw, smallHeader)}
+	a.mu.Lock()
+	a.conns[c] = struct{}{}
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.conns, c)
+		a.mu.Unlock()
+		_ = c.Close() // the client has been answered
+	}()
+	for a.serveOne(c) {
+		c.served = true
+	}
+}
+
+// limits returns the bounds on what clients may send.
+func (a *Acceptor) limits() matcher.Limits {
+	limits := matcher.Limits{
+		HeaderBytes: defaultHeaders,
+		BodyBytes:   defaultBody,
+		HeaderTime:  defaultHeader,
+		IdleTime:    defaultIdle,
+	}
+	if table := a.Table(); table != nil {
+		limits = table.Limits
+	}
+	return limits
+}
+
+// serveOne serves one request. It reports whether another may follow on the connection.
+func (a *Acceptor) serveOne(c *client) bool {
+	limits := a.limits()
+	wait := limits.HeaderTime
+	if c.served {
+		wait = limits.IdleTime + idleMargin
+	}
+	if c.SetReadDeadline(time.Now().Add(wait)) != nil {
+		return false
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return false // closed, or idle for too long
+	}
+	arrived := time.Now()
+	a.open.Add(1)
+	defer a.open.Add(-1)
+	if c.SetReadDeadline(arrived.Add(limits.HeaderTime)) != nil {
+		return false
+	}
+	request := fasthttp.AcquireRequest()
+	if err := a.read(c, request, &limits); err != nil {
+		a.reject(c, err)
+		return false
+	}
+	gone, settle := watch(c)
+	result := a.handle(request, arrived, gone)
+	if !settle() || result == nil {
+		return false // the target may still read the request, so it is not reused
+	}
+	defer fasthttp.ReleaseRequest(request)
+	return a.answer(c, request, result)
+}
+
+var (
+	errHeaderSize = merry.Sentinel("header too large")
+	errBodySize   = merry.Sentinel("body too large")
+)
+
+// read reads a whole request.
+func (a *Acceptor) read(c *client, request *fasthttp.Request, limits *matcher.Limits) error {
+	err := request.Header.Read(c.reader)
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) && c.reader.Size() < limits.HeaderBytes {
+		c.reader = bufio.NewReaderSize(c.reader, limits.HeaderBytes)
+		err = request.Header.Read(c.reader)
+	}
+	if errors.As(err, &small) {
+		return merry.Wrap(errHeaderSize, merry.WithCause(err))
+	}
+	if err != nil {
+		return err
+	}
+	if err := c.SetReadDeadline(time.Now().Add(limits.IdleTime)); err != nil {
+		return err
+	}
+	if request.MayContinue() {
+		if _, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
+			return err
+		}
+	}
+	err = request.ContinueReadBody(c.reader, limits.BodyBytes, false)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		return merry.Wrap(errBodySize, merry.WithCause(err))
+	}
+	return err
+}
+
+// reject answers a request that could not be read.
+func (a *Acceptor) reject(c *client, err error) {
+	status := fasthttp.StatusBadRequest
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errHeaderSize):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errBodySize):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		status = fasthttp.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
+		return // the client left in the middle of its request
+	}
+	a.Log.Info("client: request can't be read", zap.Int("status", status), zap.Error(err))
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	response.SetStatusCode(status)
+	response.SetConnectionClose()
+	a.write(c, response)
+}
+
+// watch waits for the client to leave while its request is served. settle ends the watch
+// and reports whether the client is still there.
+func watch(c *client) (gone <-chan struct{}, settle func() bool) {
+	left := make(chan struct{})
+	ended := make(chan struct{})
+	_ = c.SetReadDeadline(time.Time{}) // a connection that fails is noticed by the read
+	go func() {
+		defer close(ended)
+		_, err := c.reader.Peek(1)
+		var timeout net.Error
+		if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			close(left)
+		}
+	}()
+	return left, func() bool {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // wakes the read
+		<-ended
+		select {
+		case <-left:
+			return false
+		default:
+			return true
+		}
+	}
+}
+
+// handle forwards a request and returns what to tell the client, or nil if it left.
+func (a *Acceptor) handle(in *fasthttp.Request, arrived time.Time, gone <-chan struct{}) *fasthttp.Response {
+	table := a.Table()
+	if table == nil {
+		return refusal(noConfigRetry)
+	}
+	uri := in.Header.RequestURI()
+	path, _, _ := bytes.Cut(uri, []byte("?"))
+	route := table.Match(string(in.Header.Host()), string(path))
+	if route == nil {
+		return status(fasthttp.StatusNotFound)
+	}
+	id := in.Header.Peek(platform.HeaderRequestID)
+	if len(id) == 0 {
+		return status(fasthttp.StatusBadRequest)
+	}
+	left, ok := platform.TimeLeft(in.Header.Peek(platform.HeaderTimeLeft))
+	if !ok {
+		left = max(defaultLeft, route.Timeout)
+	}
+	result := a.Forwarder.Forward(&forwarder.Request{
+		ID:      id,
+		Route:   route,
+		Version: table.Version,
+		Arrived: arrived,
+		Left:    left,
+		Method:  in.Header.Method(),
+		URI:     uri,
+		Host:    in.Header.Host(),
+		Headers: endToEnd(&in.Header),
+		Body:    in.Body(),
+		Gone:    gone,
+	})
+	return respond(&result, id)
+}
+
+func status(code int) *fasthttp.Response {
+	response := fasthttp.AcquireResponse()
+	response.SetStatusCode(code)
+	return response
+}
+
+func refusal(retry time.Duration) *fasthttp.Response {
+	response := status(fasthttp.StatusServiceUnavailable)
+	response.Header.SetBytesV(platform.HeaderRetry, platform.AppendRetry(nil, retry))
+	return response
+}
+
+// respond turns a result into a response.
+func respond(result *forwarder.Result, id []byte) *fasthttp.Response {
+	switch result.Verdict {
+	case forwarder.Left:
+		return nil
+	case forwarder.Refused:
+		response := refusal(result.Retry)
+		response.Header.SetBytesV(platform.HeaderRequestID, id)
+		return response
+	case forwarder.Failed:
+		return status(fasthttp.StatusBadGateway)
+	case forwarder.Expired:
+		return status(fasthttp.StatusGatewayTimeout)
+	}
+	response := status(result.Answer.Status)
+	response.Header.SetNoDefaultContentType(true)
+	for _, h := range result.Answer.Headers {
+		response.Header.AddBytesKV(h.Name, h.Value)
+	}
+	response.SetBodyRaw(result.Answer.Body)
+	return response
+}
+
+// answer writes a response. It reports whether the connection may be used again.
+func (a *Acceptor) answer(c *client, request *fasthttp.Request, response *fasthttp.Response) bool {
+	defer fasthttp.ReleaseResponse(response)
+	ends := request.Header.ConnectionClose() || a.stopping.Load()
+	if ends {
+		response.SetConnectionClose()
+	}
+	response.SkipBody = request.Header.IsHead()
+	return a.write(c, response) && !ends
+}
+
+func (a *Acceptor) write(c *client, response *fasthttp.Response) bool {
+	if c.SetWriteDeadline(time.Now().Add(writeLimit)) != nil {
+		return false
+	}
+	out := bufio.NewWriterSize(c, smallHeader)
+	if err := response.Write(out); err != nil {
+		return false // the client left
+	}
+	return out.Flush() == nil
+}
+
+// endToEnd copies the headers that a target gets as the client sent them.
+func endToEnd(header *fasthttp.RequestHeader) []carrier.Header {
+	var headers []carrier.Header
+	for name, value := range header.All() {
+		if dropped(string(name)) {
+			continue
+		}
+		headers = append(headers, carrier.Header{
+			Name:  append([]byte(nil), name...),
+			Value: append([]byte(nil), value...),
+		})
+	}
+	return headers
+}
+
+// dropped reports whether a header of a client is not passed on as it is.
+func dropped(name string) bool {
+	switch name {
+	case fasthttp.HeaderHost, fasthttp.HeaderExpect, platform.HeaderRequestID, platform.HeaderTimeLeft,
+		platform.HeaderCaller, platform.HeaderInstance:
+		return true
+	}
+	return deliverer.HopByHop(name) || strings.EqualFold(name, "Proxy-Authorization")
+}
--- /dev/null
+++ b/internal/proxy/admitter/admitter.go
@@ -0,0 +1,219 @@
+// Package admitter decides which calls a target takes, which wait beside it and which are
+// turned away. It holds no clock and does no input or output.
+package admitter
+
+import (
+	"time"
+)
+
+// Job is one call that asks for a slot.
+type Job struct {
+	Rank     int                      // lower goes first
+	Arrived  time.Time                // at this node
+	Deadline time.Time                // after which nobody waits for the answer
+	Aim      time.Time                // until which an answer earns full credit
+	Start    func()                   // called once the job has a slot
+	Refuse   func(wait time.Duration) // called if a waiting job is turned away
+
+	state jobState
+}
+
+// Waiting reports whether the job waits for a slot.
+func (j *Job) Waiting() bool { return j.state == waiting }
+
+type jobState int
+
+const (
+	fresh jobState = iota
+	waiting
+	running
+	ended
+)
+
+// Settings of a queue.
+const (
+	startCost   = 50 * time.Millisecond // of a job, before any was measured
+	costWeight  = 0.1                   // of a new sample in the mean time in a slot
+	lateShare   = 0.35                  // of the slots' work that jobs past their aim may wait for
+	maxWaitings = 8                     // waiting jobs per slot
+	minRetry    = 30 * time.Millisecond // least pause that a refused caller is told
+	ranks       = 16
+)
+
+// Queue admits jobs up to the number of slots; others wait in order of their rank and
+// arrival if they are likely to be served in time. It answers the load pattern of a
+// crest: more arrives than the slots can do. A line that is bounded by the aim keeps all
+// slots busy and serves who is let in within the aim; who would come too late is told at
+// once when to return. The zero value refuses everything until Resize.
+type Queue struct {
+	Slots int
+	InUse int
+
+	lines   [ranks][]*Job
+	waiting int
+	mean    [ranks]time.Duration // time in a slot by rank
+	overall time.Duration
+}
+
+// Load is what other nodes are told of a queue.
+type Load struct {
+	Slots   int
+	InUse   int
+	Waiting int
+	Mean    time.Duration // time in a slot
+}
+
+// Load returns the present load.
+func (q *Queue) Load() Load {
+	return Load{Slots: q.Slots, InUse: q.InUse, Waiting: q.waiting, Mean: q.meanTime()}
+}
+
+func (q *Queue) meanTime() time.Duration {
+	if q.overall == 0 {
+		return startCost
+	}
+	return q.overall
+}
+
+func (q *Queue) cost(rank int) time.Duration {
+	if q.mean[rank] == 0 {
+		return q.meanTime()
+	}
+	return q.mean[rank]
+}
+
+func clampRank(rank int) int { return min(max(rank, 0), ranks-1) }
+
+// Offer starts a job, lets it wait, or refuses it with the pause after which it is likely
+// to be taken.
+func (q *Queue) Offer(job *Job, now time.Time) (admitted bool, retry time.Duration) {
+	job.Rank = clampRank(job.Rank)
+	if q.InUse < q.Slots && q.waiting == 0 {
+		q.start(job)
+		return true, 0
+	}
+	wait := q.expected(job.Rank)
+	if q.Slots == 0 || !q.worthwhile(job, now, wait) {
+		return false, max(wait, minRetry)
+	}
+	job.state = waiting
+	q.lines[job.Rank] = append(q.lines[job.Rank], job)
+	q.waiting++
+	q.Fill(now)
+	return true, 0
+}
+
+// expected returns how long a new job of a rank is likely to wait.
+func (q *Queue) expected(rank int) time.Duration {
+	var work time.Duration
+	for r := 0; r <= rank; r++ {
+		work += time.Duration(len(q.lines[r])) * q.cost(r)
+	}
+	slots := max(q.Slots, 1)
+	if q.InUse >= slots {
+		work += q.meanTime()
+	}
+	return work / time.Duration(slots)
+}
+
+// worthwhile reports whether a job that waits so long is still likely to be of use, and
+// does not crowd out others that are.
+func (q *Queue) worthwhile(job *Job, now time.Time, wait time.Duration) bool {
+	if q.waiting >= maxWaitings*q.Slots {
+		return false
+	}
+	end := now.Add(wait + q.cost(job.Rank))
+	if end.After(job.Deadline) {
+		return false
+	}
+	if !end.After(job.Aim) {
+		return true
+	}
+	return wait <= time.Duration(lateShare*float64(q.meanTime()))
+}
+
+// Fill gives free slots to waiting jobs.
+func (q *Queue) Fill(now time.Time) {
+	for q.InUse < q.Slots && q.waiting > 0 {
+		job := q.pop(now)
+		if job == nil {
+			return
+		}
+		q.start(job)
+	}
+}
+
+func (q *Queue) start(job *Job) {
+	job.state = running
+	q.InUse++
+	job.Start()
+}
+
+// pop takes the next job out of its line and refuses those that would end too late.
+func (q *Queue) pop(now time.Time) *Job {
+	for r := range q.lines {
+		for len(q.lines[r]) > 0 {
+			job := q.lines[r][0]
+			q.lines[r][0] = nil
+			q.lines[r] = q.lines[r][1:]
+			q.waiting--
+			if now.Before(job.Deadline) {
+				return job
+			}
+			job.state = ended
+			job.Refuse(minRetry)
+		}
+	}
+	return nil
+}
+
+// Done ends a running job that held its slot for so long. A sample of 0 teaches nothing.
+func (q *Queue) Done(job *Job, held time.Duration, now time.Time) {
+	if job.state != running {
+		return
+	}
+	job.state = ended
+	q.InUse--
+	if held > 0 {
+		q.learn(&q.mean[job.Rank], held)
+		q.learn(&q.overall, held)
+	}
+	q.Fill(now)
+}
+
+func (q *Queue) learn(mean *time.Duration, held time.Duration) {
+	if *mean == 0 {
+		*mean = held
+		return
+	}
+	*mean += time.Duration(costWeight * float64(held-*mean))
+}
+
+// Remove takes a waiting job out and reports whether it was waiting.
+func (q *Queue) Remove(job *Job) bool {
+	if job.state != waiting {
+		return false
+	}
+	line := q.lines[job.Rank]
+	for i, other := range line {
+		if other == job {
+			q.lines[job.Rank] = append(line[:i:i], line[i+1:]...)
+			q.waiting--
+			job.state = ended
+			return true
+		}
+	}
+	return false
+}
+
+// Flush refuses all waiting jobs.
+func (q *Queue) Flush() {
+	for r := range q.lines {
+		for _, job := range q.lines[r] {
+			job.state = ended
+			job.Refuse(0)
+		}
+		q.lines[r] = nil
+	}
+	q.waiting = 0
+}
--- /dev/null
+++ b/internal/proxy/budgeter/budgeter.go
@@ -0,0 +1,58 @@
+// Package budgeter bounds how many arrivals beyond the first of each request a service
+// gets.
+package budgeter
+
+import "time"
+
+const (
+	buckets = 10  // parts of the window
+	safety  = 0.8 // share of the allowance that a node spends
+)
+
+// Budget allows repeats up to a share of the requests in a sliding window and a fixed
+// number beside. It answers the pattern in which every request of a service fails at
+// once: repeats then stop at the allowance, whatever is asked for.
+//
+// The window is kept in parts; a part counts until it has left the window whole.
+type Budget struct {
+	Ratio  float64       // repeats per request
+	Slack  float64       // repeats in a window, whatever the load
+	Window time.Duration // length of the sliding window
+
+	parts [buckets + 1]part
+}
+
+type part struct {
+	number   int64
+	requests int
+	repeats  int
+}
+
+func (b *Budget) at(now time.Time) *part {
+	number := now.UnixNano() / int64(b.Window/buckets)
+	p := &b.parts[number%int64(len(b.parts))]
+	if p.number != number {
+		*p = part{number: number}
+	}
+	return p
+}
+
+// Request counts a request for the service.
+func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
+
+// Repeat spends one repeated arrival if the window allows it.
+func (b *Budget) Repeat(now time.Time) bool {
+	current := b.at(now)
+	requests, repeats := 0, 0
+	for i := range b.parts {
+		if b.parts[i].number+int64(len(b.parts)) > current.number {
+			requests += b.parts[i].requests
+			repeats += b.parts[i].repeats
+		}
+	}
+	if float64(repeats+1) > safety*(b.Ratio*float64(requests)+b.Slack) {
+		return false
+	}
+	current.repeats++
+	return true
+}
--- /dev/null
+++ b/internal/proxy/carrier/link.go
@@ -0,0 +1,425 @@
+package carrier
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	frameHeader   = 5        // bytes: length of the body, and the kind
+	maxFrame      = 96 << 20 // bytes; a body of the largest size that clients may send fits
+	readBuffer    = 4 << 10  // bytes
+	writeTimeout  = time.Second
+	helloTimeout  = time.Second
+	quietLimit    = 400 * time.Millisecond  // of silence with open calls before a ping
+	pingTimeout   = 1000 * time.Millisecond // in which a ping is answered
+	idlePing      = time.Second             // between pings of an idle link
+	voidTimeout   = 500 * time.Millisecond
+	answerBacklog = 1
+)
+
+// errClosed says that a link is gone.
+var errClosed = merry.Sentinel("link closed")
+
+// Server is what a link does for the node at its other end.
+type Server interface {
+	// Serve runs a call and answers once. The function returned gives the call up.
+	Serve(call *Call, answer func(*Answer)) func()
+	// Void forbids an attempt and reports whether it never reached the target.
+	Void(id []byte, attempt uint64) bool
+	// State returns what other nodes are told.
+	State() State
+	// Text returns the operator's configuration in force.
+	Text() []byte
+	// Receive takes a configuration that another node sent.
+	Receive(text []byte)
+}
+
+// Link is one connection to another node. Calls in both directions share it.
+type Link struct {
+	Peer Peer
+
+	server Server
+	conn   net.Conn
+	reader *bufio.Reader
+	done   chan struct{}
+
+	writing sync.Mutex
+	buffer  []byte
+
+	mu      sync.Mutex
+	next    uint64
+	calls   map[uint64]chan *Answer
+	voids   map[uint64]chan bool
+	serving map[uint64]func()
+	closed  bool
+
+	state     atomic.Pointer[State]
+	reported  atomic.Int64 // Unix nanoseconds of the state
+	open      atomic.Int64 // calls that wait for an answer
+	openThen  atomic.Int64 // of them, when the state was reported
+	heard     atomic.Int64 // Unix nanoseconds of the last frame
+	asked     atomic.Int64 // Unix nanoseconds of the ping that waits for an answer, or 0
+	fetchedAt atomic.Int64 // Unix nanoseconds of the last fetch
+}
+
+func newLink(conn net.Conn, server Server) *Link {
+	return &Link{
+		server:  server,
+		conn:    conn,
+		reader:  bufio.NewReaderSize(conn, readBuffer),
+		done:    make(chan struct{}),
+		calls:   make(map[uint64]chan *Answer),
+		voids:   make(map[uint64]chan bool),
+		serving: make(map[uint64]func()),
+	}
+}
+
+// greet exchanges the first frames.
+func (l *Link) greet(self Peer, peers []Peer) ([]Peer, error) {
+	if err := l.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, err
+	}
+	if err := l.send(kindHello, &hello{Self: self, State: l.server.State(), Peers: peers}); err != nil {
+		return nil, err
+	}
+	frameKind, body, err := l.read()
+	if err != nil {
+		return nil, err
+	}
+	var other hello
+	if frameKind != kindHello {
+		return nil, merry.Errorf("first frame of kind %d", frameKind)
+	}
+	if err := decoding.Unmarshal(body, &other); err != nil {
+		return nil, merry.Prepend(err, "decode greeting")
+	}
+	l.Peer = other.Self
+	l.report(&other.State)
+	return other.Peers, l.conn.SetDeadline(time.Time{})
+}
+
+// State returns the peer's last report, its age, and how many more calls this node has
+// open there than it had then; fewer if negative.
+func (l *Link) State() (state State, open, openThen int, age time.Duration) {
+	age = time.Duration(time.Now().UnixNano() - l.reported.Load())
+	return *l.state.Load(), int(l.open.Load()), int(l.openThen.Load()), age
+}
+
+func (l *Link) report(state *State) {
+	l.state.Store(state)
+	l.openThen.Store(l.open.Load())
+	l.reported.Store(time.Now().UnixNano())
+}
+
+// send writes one frame. A frame whose write fails can't be read by the peer.
+func (l *Link) send(frameKind kind, body any) error {
+	text, err := cbor.Marshal(body)
+	if err != nil {
+		return merry.Prepend(err, "encode frame")
+	}
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	l.buffer = binary.BigEndian.AppendUint32(l.buffer[:0], uint32(len(text)))
+	l.buffer = append(l.buffer, byte(frameKind))
+	l.buffer = append(l.buffer, text...)
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err = l.conn.Write(l.buffer)
+	if cap(l.buffer) > 8*readBuffer {
+		l.buffer = nil
+	}
+	return err
+}
+
+func (l *Link) read() (kind, []byte, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(l.reader, header[:]); err != nil {
+		return 0, nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > maxFrame {
+		return 0, nil, merry.Errorf("frame of %d bytes", size)
+	}
+	body := make([]byte, size)
+	_, err := io.ReadFull(l.reader, body)
+	return kind(header[frameHeader-1]), body, err
+}
+
+// run reads frames until the connection ends.
+func (l *Link) run() error {
+	for {
+		frameKind, body, err := l.read()
+		if err != nil {
+			l.Close()
+			return err
+		}
+		l.heard.Store(time.Now().UnixNano())
+		if err := l.dispatch(frameKind, body); err != nil {
+			l.Close()
+			return err
+		}
+	}
+}
+
+func (l *Link) dispatch(frameKind kind, body []byte) error {
+	switch frameKind {
+	case kindCall:
+		return l.serve(body)
+	case kindAnswer:
+		return l.answer(body)
+	case kindCancel:
+		return l.cancel(body)
+	case kindState, kindPong:
+		return l.takeState(frameKind, body)
+	case kindPing:
+		l.reply(kindPong, &stateFrame{State: l.server.State()})
+	case kindFetch:
+		l.reply(kindConfig, &configFrame{Text: l.server.Text()})
+	case kindConfig:
+		var frame configFrame
+		if err := decoding.Unmarshal(body, &frame); err != nil {
+			return err
+		}
+		l.server.Receive(frame.Text)
+	case kindVoid, kindVoided:
+		return l.void(frameKind, body)
+	}
+	return nil
+}
+
+// reply sends a frame; a link that can't take it is closed.
+func (l *Link) reply(frameKind kind, body any) {
+	if err := l.send(frameKind, body); err != nil {
+		l.Close()
+	}
+}
+
+func (l *Link) serve(body []byte) error {
+	var frame callFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	number := frame.Number
+	l.mu.Lock()
+	l.serving[number] = nil
+	l.mu.Unlock()
+	giveUp := l.server.Serve(frame.Call, func(answer *Answer) {
+		l.mu.Lock()
+		delete(l.serving, number)
+		closed := l.closed
+		l.mu.Unlock()
+		if !closed {
+			l.reply(kindAnswer, &answerFrame{Number: number, Answer: answer})
+		}
+	})
+	l.mu.Lock()
+	if _, open := l.serving[number]; open {
+		l.serving[number] = giveUp
+	}
+	l.mu.Unlock()
+	return nil
+}
+
+func (l *Link) answer(body []byte) error {
+	var frame answerFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	waiting, ok := l.calls[frame.Number]
+	delete(l.calls, frame.Number)
+	l.mu.Unlock()
+	if ok {
+		l.open.Add(-1)
+		waiting <- frame.Answer
+	}
+	l.report(&frame.Answer.Load)
+	return nil
+}
+
+func (l *Link) cancel(body []byte) error {
+	var frame numberFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	giveUp := l.serving[frame.Number]
+	l.mu.Unlock()
+	if giveUp != nil {
+		giveUp()
+	}
+	return nil
+}
+
+func (l *Link) takeState(frameKind kind, body []byte) error {
+	var frame stateFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	if frameKind == kindPong {
+		l.asked.Store(0)
+	}
+	l.report(&frame.State)
+	return nil
+}
+
+func (l *Link) void(frameKind kind, body []byte) error {
+	var frame voidFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	if frameKind == kindVoid {
+		frame.Voided = l.server.Void(frame.ID, frame.Attempt)
+		l.reply(kindVoided, &frame)
+		return nil
+	}
+	l.mu.Lock()
+	waiting, ok := l.voids[frame.Number]
+	delete(l.voids, frame.Number)
+	l.mu.Unlock()
+	if ok {
+		waiting <- frame.Voided
+	}
+	return nil
+}
+
+// Exchange sends a call and waits for its answer. If gone is closed first, the call is
+// given up and the answer is nil. The outcome is Refused if the peer can't have read the
+// call, and Unknown if the link broke or the peer stayed silent until the limit.
+func (l *Link) Exchange(call *Call, gone <-chan struct{}, limit time.Duration) *Answer {
+	waiting := make(chan *Answer, answerBacklog)
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return &Answer{Outcome: Refused, Reason: "link closed"}
+	}
+	l.next++
+	number := l.next
+	l.calls[number] = waiting
+	l.mu.Unlock()
+	l.open.Add(1)
+	if err := l.send(kindCall, &callFrame{Number: number, Call: call}); err != nil {
+		l.forget(number)
+		l.Close()
+		return &Answer{Outcome: Refused, Reason: "link broke"}
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case answer := <-waiting:
+		return answer
+	case <-l.done:
+		return &Answer{Outcome: Unknown, Reason: "link broke"}
+	case <-gone:
+		l.forget(number)
+		l.reply(kindCancel, &numberFrame{Number: number})
+		return nil
+	case <-timer.C:
+		l.forget(number)
+		return &Answer{Outcome: Unknown, Reason: "peer silent"}
+	}
+}
+
+func (l *Link) forget(number uint64) {
+	l.mu.Lock()
+	_, ok := l.calls[number]
+	delete(l.calls, number)
+	l.mu.Unlock()
+	if ok {
+		l.open.Add(-1)
+	}
+}
+
+// Void asks the peer to forbid an attempt. It reports true only if the peer says that the
+// attempt never reached its target.
+func (l *Link) Void(id []byte, attempt uint64) bool {
+	waiting := make(chan bool, answerBacklog)
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return false
+	}
+	l.next++
+	number := l.next
+	l.voids[number] = waiting
+	l.mu.Unlock()
+	if err := l.send(kindVoid, &voidFrame{Number: number, ID: id, Attempt: attempt}); err != nil {
+		l.Close()
+		return false
+	}
+	timer := time.NewTimer(voidTimeout)
+	defer timer.Stop()
+	select {
+	case voided := <-waiting:
+		return voided
+	case <-l.done:
+	case <-timer.C:
+	}
+	return false
+}
+
+// Tell sends the present state.
+func (l *Link) Tell() { l.reply(kindState, &stateFrame{State: l.server.State()}) }
+
+// Fetch asks for the peer's configuration, at most once in a while.
+func (l *Link) Fetch(now time.Time, pause time.Duration) {
+	if now.UnixNano()-l.fetchedAt.Load() < int64(pause) {
+		return
+	}
+	l.fetchedAt.Store(now.UnixNano())
+	l.reply(kindFetch, &numberFrame{})
+}
+
+// Check closes a link whose peer does not answer a ping, and sends one if it was quiet
+// for long.
+func (l *Link) Check(now time.Time) {
+	if asked := l.asked.Load(); asked != 0 {
+		if now.UnixNano()-asked > int64(pingTimeout) && l.heard.Load() < asked {
+			l.Close()
+		} else if l.heard.Load() >= asked {
+			l.asked.Store(0)
+		}
+		return
+	}
+	limit := idlePing
+	if l.open.Load() > 0 {
+		limit = quietLimit
+	}
+	if now.UnixNano()-l.heard.Load() < int64(limit) {
+		return
+	}
+	l.asked.Store(now.UnixNano())
+	go l.reply(kindPing, &numberFrame{})
+}
+
+// Close ends the link. Calls of the peer that may be repeated are given up.
+func (l *Link) Close() {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return
+	}
+	l.closed = true
+	var open []func()
+	for _, giveUp := range l.serving {
+		if giveUp != nil {
+			open = append(open, giveUp)
+		}
+	}
+	l.mu.Unlock()
+	close(l.done)
+	_ = l.conn.Close() // nothing is left to be said to the peer
+	for _, giveUp := range open {
+		giveUp()
+	}
+}
--- /dev/null
+++ b/internal/proxy/carrier/message.go
@@ -0,0 +1,155 @@
+// Package carrier carries calls and state between nodes: length-prefixed CBOR frames, many
+// calls at once on one TCP connection.
+package carrier
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// kind is the type of a frame.
+type kind uint8
+
+const (
+	kindHello kind = iota + 1
+	kindCall
+	kindAnswer
+	kindCancel
+	kindState
+	kindPing
+	kindPong
+	kindFetch
+	kindConfig
+	kindVoid
+	kindVoided
+)
+
+// Header is one header line.
+type Header struct {
+	_     struct{} `cbor:",toarray"`
+	Name  []byte
+	Value []byte
+}
+
+// Call is a request on its way to a target.
+type Call struct {
+	_          struct{} `cbor:",toarray"`
+	ID         []byte   // of the request, as its client sent it
+	Attempt    uint64   // tells apart deliveries of one request
+	Service    string
+	Rank       int           // lower goes first
+	Idempotent bool          // may run more than once
+	Left       time.Duration // until nobody waits for the answer any more
+	Aim        time.Duration // until an answer is late; may be negative
+	Caller     string        // service on the host where the request began
+	Method     []byte
+	URI        []byte
+	Host       []byte
+	Headers    []Header
+	Body       []byte
+}
+
+// Outcome says what became of a call.
+type Outcome uint8
+
+// Outcomes of a call.
+const (
+	Unknown  Outcome = iota // no answer; it may have run
+	Answered                // the target's whole answer
+	Refused                 // it never reached the target and never will
+	Shed                    // the target rejected it without running it
+	Failed                  // it reached the target, which gave no whole answer
+	Expired                 // its time was up while the target worked
+)
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	return [...]string{"unknown", "answered", "refused", "shed", "failed", "expired"}[o]
+}
+
+// Answer is the result of a call.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	Outcome Outcome
+	Reason  string        // in short words, unless answered
+	Status  int           // of the target's answer
+	Headers []Header      // of the target's answer
+	Body    []byte        // of the target's answer
+	Wait    time.Duration // when refused: after which another try may be worthwhile
+	Load    State         // of the node that answers
+}
+
+// State is what a node tells of the target beside it.
+type State struct {
+	_       struct{} `cbor:",toarray"`
+	Serving bool
+	Slots   int
+	InUse   int
+	Waiting int
+	Mean    time.Duration // time in a slot
+	Failing float64       // share of recent calls that the target shed or failed
+	Cold    time.Duration // for which the target remains slow after its start
+	Version uint64        // of the configuration in force at the node
+}
+
+// Peer is where a node is found.
+type Peer struct {
+	_       struct{} `cbor:",toarray"`
+	Node    string
+	Address string
+	Zone    string
+	Service string
+	Started int64 // Unix nanoseconds of the process's start
+}
+
+// hello is the first frame in both directions.
+type hello struct {
+	_     struct{} `cbor:",toarray"`
+	Self  Peer
+	State State
+	Peers []Peer
+}
+
+type callFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Call   *Call
+}
+
+type answerFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Answer *Answer
+}
+
+type numberFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+}
+
+type voidFrame struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	ID      []byte
+	Attempt uint64
+	Voided  bool
+}
+
+type stateFrame struct {
+	_     struct{} `cbor:",toarray"`
+	State State
+}
+
+type configFrame struct {
+	_    struct{} `cbor:",toarray"`
+	Text []byte
+}
+
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 17}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
--- /dev/null
+++ b/internal/proxy/deliverer/deliverer.go
@@ -0,0 +1,478 @@
+// Package deliverer is the only way to the target on this host: it admits calls, hands them
+// over and reads the answers.
+package deliverer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"clementinerock/internal/call/deduper"
+	"clementinerock/internal/proxy/admitter"
+	"clementinerock/internal/proxy/carrier"
+	"clementinerock/internal/proxy/tracker"
+	"clementinerock/platform"
+)
+
+const (
+	attemptMemory = 30 * time.Second       // longer than any client waits
+	answerGrace   = 60 * time.Millisecond  // for the target's own answer at the time limit
+	leastLeft     = 10 * time.Millisecond  // below which a target is not bothered
+	retryConnect  = 250 * time.Millisecond // between tries to reach a target that refused a connection
+	failureWeight = 0.05                   // of one call in the share of failures
+)
+
+// Meter takes in measurements.
+type Meter interface {
+	Add(name string, n int64)
+	Observe(name string, d time.Duration)
+}
+
+// Deliverer guards the target of this host. It refuses all calls until Update.
+type Deliverer struct {
+	Log     *zap.Logger
+	Meter   Meter
+	Address string        // of the target
+	Changed func()        // called when the target's state changed for other nodes
+	Version func() uint64 // of the configuration in force
+
+	mu       sync.Mutex
+	queue    admitter.Queue
+	target   tracker.Report
+	coldEnd  time.Time
+	stopping bool
+	down     time.Time // until when the target is taken to be unreachable
+	idle     []*conn
+	attempts deduper.Deduper
+	failing  float64 // share of recent calls
+}
+
+// delivery is one call on its way.
+type delivery struct {
+	admitter.Job
+	call   *carrier.Call
+	answer func(*carrier.Answer)
+	conn   *conn // while the target works on it
+	gaveUp bool
+	timer  *time.Timer
+}
+
+// Update takes in a new state of the target.
+func (d *Deliverer) Update(report tracker.Report, now time.Time) {
+	d.mu.Lock()
+	if report.ID != d.target.ID || report.Born != d.target.Born {
+		d.closeIdle()
+		d.down = time.Time{}
+		d.failing = 0
+	}
+	changed := report.State != d.target.State || report.ID != d.target.ID || report.Slots != d.target.Slots
+	d.target = report
+	d.coldEnd = now.Add(report.Cold)
+	d.resize(now)
+	d.mu.Unlock()
+	if changed {
+		d.Changed()
+	}
+}
+
+// Stop makes the deliverer refuse all further calls, since this process ends.
+func (d *Deliverer) Stop() {
+	d.mu.Lock()
+	d.stopping = true
+	d.resize(time.Now())
+	d.mu.Unlock()
+	d.Changed()
+}
+
+// Busy returns the number of calls that the target works on or that wait for it.
+func (d *Deliverer) Busy() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load := d.queue.Load()
+	return load.InUse + load.Waiting
+}
+
+// resize sets the slots that may be used at this moment.
+func (d *Deliverer) resize(now time.Time) {
+	if d.closedBy(now) == "" {
+		d.queue.Slots = d.target.Slots
+		d.queue.Fill(now)
+		return
+	}
+	d.queue.Slots = 0
+	d.queue.Flush()
+	d.closeIdle()
+}
+
+// closedBy returns why the target takes no calls, or nothing if it does.
+func (d *Deliverer) closedBy(now time.Time) string {
+	switch {
+	case d.stopping:
+		return "node stopping"
+	case d.target.State != tracker.Serving:
+		return "target " + d.target.State.String()
+	case now.Before(d.down):
+		return "target unreachable"
+	}
+	return ""
+}
+
+// State returns what other nodes are told of the target.
+func (d *Deliverer) State() carrier.State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state(time.Now())
+}
+
+func (d *Deliverer) state(now time.Time) carrier.State {
+	load := d.queue.Load()
+	return carrier.State{
+		Serving: d.closedBy(now) == "",
+		Slots:   load.Slots,
+		InUse:   load.InUse,
+		Waiting: load.Waiting,
+		Mean:    load.Mean,
+		Failing: d.failing,
+		Cold:    max(d.coldEnd.Sub(now), 0),
+		Version: d.Version(),
+	}
+}
+
+// Void forbids an attempt and reports whether it never reached the target.
+func (d *Deliverer) Void(id []byte, attempt uint64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.attempts.Void(time.Now(), attemptKey(id, attempt))
+}
+
+func attemptKey(id []byte, attempt uint64) string {
+	return string(id) + "/" + string(rune('0'+attempt))
+}
+
+// Serve delivers a call to the target and answers once. The function returned gives the
+// call up: one that waits leaves, one that may be repeated is broken off.
+func (d *Deliverer) Serve(call *carrier.Call, answer func(*carrier.Answer)) func() {
+	now := time.Now()
+	v := &delivery{call: call, answer: answer}
+	v.Rank = call.Rank
+	v.Deadline = now.Add(call.Left - leastLeft)
+	v.Aim = now.Add(call.Aim)
+	v.Arrived = now
+	v.Start = func() { go d.run(v) }
+	v.Refuse = func(wait time.Duration) { go d.refuse(v, "turned away", wait) }
+	reason, wait := d.admit(v, now)
+	if reason != "" {
+		d.refuse(v, reason, wait)
+		return nil
+	}
+	return func() { d.giveUp(v) }
+}
+
+// admit offers a call to the queue. It returns why the call is refused, or nothing.
+func (d *Deliverer) admit(v *delivery, now time.Time) (string, time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.attempts.Keep = attemptMemory
+	if reason := d.closedBy(now); reason != "" {
+		return reason, 0
+	}
+	if v.call.Service != d.target.Service {
+		return "other service", 0
+	}
+	if d.queue.Slots == 0 {
+		d.resize(now) // the pause after a refused connection is over
+	}
+	admitted, wait := d.queue.Offer(&v.Job, now)
+	if !admitted {
+		return "full", wait
+	}
+	if v.Waiting() {
+		v.timer = time.AfterFunc(v.Deadline.Sub(now), func() { d.expire(v) })
+	}
+	return "", 0
+}
+
+func (d *Deliverer) refuse(v *delivery, reason string, wait time.Duration) {
+	d.Meter.Add("deliver_refused", 1)
+	v.answer(&carrier.Answer{Outcome: carrier.Refused, Reason: reason, Wait: wait, Load: d.State()})
+}
+
+// expire turns a call away whose time is up while it waits.
+func (d *Deliverer) expire(v *delivery) {
+	d.mu.Lock()
+	removed := d.queue.Remove(&v.Job)
+	d.mu.Unlock()
+	if removed {
+		d.refuse(v, "waited too long", 0)
+	}
+}
+
+// giveUp ends a call that nobody waits for any more.
+func (d *Deliverer) giveUp(v *delivery) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.queue.Remove(&v.Job) {
+		return
+	}
+	if v.call.Idempotent {
+		v.gaveUp = true
+		if v.conn != nil {
+			_ = v.conn.Close() // the target drops the request with its connection
+		}
+	}
+}
+
+// run hands a call that has a slot to the target.
+func (d *Deliverer) run(v *delivery) {
+	started := time.Now()
+	if v.timer != nil {
+		v.timer.Stop()
+	}
+	d.Meter.Observe("deliver_wait", started.Sub(v.Arrived))
+	result := d.attempt(v, started)
+	now := time.Now()
+	held := time.Duration(0)
+	if result.Outcome == carrier.Answered {
+		held = now.Sub(started)
+	}
+	d.mu.Lock()
+	if !v.gaveUp {
+		d.judge(result.Outcome)
+	}
+	d.queue.Done(&v.Job, held, now)
+	result.Load = d.state(now)
+	target := d.target.ID
+	d.mu.Unlock()
+	if result.Outcome != carrier.Answered {
+		d.Log.Info("deliver: no answer",
+			zap.ByteString("id", v.call.ID),
+			zap.String("outcome", result.Outcome.String()),
+			zap.String("reason", result.Reason),
+			zap.String("target", target),
+			zap.Duration("held", now.Sub(started)),
+			zap.Duration("left", v.call.Left))
+	}
+	d.Meter.Add("deliver_"+result.Outcome.String(), 1)
+	v.answer(result)
+}
+
+// judge keeps the share of calls that the target itself did not answer.
+func (d *Deliverer) judge(outcome carrier.Outcome) {
+	sample := 0.0
+	switch outcome {
+	case carrier.Shed, carrier.Failed:
+		sample = 1
+	case carrier.Answered:
+	default:
+		return
+	}
+	d.failing += failureWeight * (sample - d.failing)
+}
+
+func (d *Deliverer) attempt(v *delivery, now time.Time) *carrier.Answer {
+	d.mu.Lock()
+	instance := d.target.ID
+	reason := d.closedBy(now)
+	if reason == "" && v.gaveUp {
+		reason = "given up"
+	}
+	if reason == "" && !v.call.Idempotent && !d.attempts.Begin(now, attemptKey(v.call.ID, v.call.Attempt)) {
+		d.mu.Unlock()
+		return &carrier.Answer{Outcome: carrier.Unknown, Reason: "attempt seen before"}
+	}
+	var c *conn
+	if reason == "" {
+		c = d.take(now)
+	}
+	d.mu.Unlock()
+	if reason != "" {
+		return &carrier.Answer{Outcome: carrier.Refused, Reason: reason}
+	}
+	if c == nil {
+		var err error
+		d.Meter.Add("target_connections", 1)
+		if c, err = connect(d.Address); err != nil {
+			d.unreachable(err)
+			return &carrier.Answer{Outcome: carrier.Refused, Reason: "target unreachable"}
+		}
+	}
+	return d.exchange(v, c, instance)
+}
+
+// unreachable stops calls to a target that takes no connection, until one is made.
+func (d *Deliverer) unreachable(err error) {
+	now := time.Now()
+	d.mu.Lock()
+	known := now.Before(d.down)
+	d.down = now.Add(connectLimit + 2*retryConnect)
+	d.resize(now)
+	target := d.target.ID
+	d.mu.Unlock()
+	if known {
+		return // somebody else tries already
+	}
+	d.Log.Info("deliver: target unreachable", zap.String("target", target), zap.Error(err))
+	d.Changed()
+	time.AfterFunc(retryConnect, d.reconnect)
+}
+
+// reconnect tries to reach the target again.
+func (d *Deliverer) reconnect() {
+	d.mu.Lock()
+	wanted := d.target.State == tracker.Serving && !d.stopping
+	d.mu.Unlock()
+	if !wanted {
+		return
+	}
+	c, err := connect(d.Address)
+	now := time.Now()
+	d.mu.Lock()
+	if err != nil {
+		d.down = now.Add(connectLimit + 2*retryConnect)
+		d.mu.Unlock()
+		time.AfterFunc(retryConnect, d.reconnect)
+		return
+	}
+	d.down = time.Time{}
+	d.resize(now)
+	target := d.target.ID
+	d.mu.Unlock()
+	d.put(c, now)
+	d.Log.Info("deliver: target reachable again", zap.String("target", target))
+	d.Changed()
+}
+
+// exchange sends the call on a connection and reads the answer.
+func (d *Deliverer) exchange(v *delivery, c *conn, instance string) *carrier.Answer {
+	end := v.Arrived.Add(v.call.Left)
+	if err := c.SetDeadline(end.Add(answerGrace)); err != nil {
+		_ = c.Close() // another connection serves the next call
+		return &carrier.Answer{Outcome: carrier.Refused, Reason: "connection lost"}
+	}
+	d.mu.Lock()
+	v.conn = c
+	gaveUp := v.gaveUp
+	d.mu.Unlock()
+	if gaveUp {
+		_ = c.Close() // the client left before anything was sent
+		return &carrier.Answer{Outcome: carrier.Refused, Reason: "given up"}
+	}
+	finished, err := c.write(v.call, instance, time.Until(end))
+	if err != nil {
+		_ = c.Close() // a broken connection
+		return &carrier.Answer{Outcome: carrier.Failed, Reason: "write: " + err.Error()}
+	}
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	err = c.read(v.call, response)
+	d.mu.Lock()
+	v.conn = nil
+	d.mu.Unlock()
+	if err != nil {
+		_ = c.Close() // what follows on it belongs to no request
+		return failure(err, time.Now(), end)
+	}
+	if c.reusable(response, finished) {
+		d.put(c, time.Now())
+	} else {
+		_ = c.Close() // not to be used again
+	}
+	return d.result(response)
+}
+
+func failure(err error, now, end time.Time) *carrier.Answer {
+	if !now.Before(end) {
+		return &carrier.Answer{Outcome: carrier.Expired, Reason: "target did not answer in time"}
+	}
+	return &carrier.Answer{Outcome: carrier.Failed, Reason: "read: " + err.Error()}
+}
+
+// result turns the target's response into an answer.
+func (d *Deliverer) result(response *fasthttp.Response) *carrier.Answer {
+	status := response.StatusCode()
+	if status == fasthttp.StatusMisdirectedRequest {
+		d.misdirected(string(response.Header.Peek(platform.HeaderAnswering)))
+		return &carrier.Answer{Outcome: carrier.Shed, Reason: "other instance"}
+	}
+	if len(response.Header.Peek(platform.HeaderNotRun)) > 0 {
+		return &carrier.Answer{Outcome: carrier.Shed, Reason: "shed by target"}
+	}
+	return &carrier.Answer{
+		Outcome: carrier.Answered,
+		Status:  status,
+		Headers: endToEnd(&response.Header),
+		Body:    append([]byte(nil), response.Body()...),
+	}
+}
+
+// misdirected takes in that another start of the target has the address. It gets calls
+// once its first heartbeat is here.
+func (d *Deliverer) misdirected(found string) {
+	d.mu.Lock()
+	d.Log.Info("deliver: another instance answers", zap.String("expected", d.target.ID), zap.String("found", found))
+	if d.target.ID != found {
+		d.target.State = tracker.Unheard
+	}
+	d.resize(time.Now())
+	d.mu.Unlock()
+	d.Changed()
+}
+
+// take returns an idle connection that is still usable, or nil.
+func (d *Deliverer) take(now time.Time) *conn {
+	for len(d.idle) > 0 {
+		c := d.idle[len(d.idle)-1]
+		d.idle = d.idle[:len(d.idle)-1]
+		if c.usable(now) {
+			return c
+		}
+		_ = c.Close() // too old, or closed by the target
+	}
+	return nil
+}
+
+// put keeps an idle connection.
+func (d *Deliverer) put(c *conn, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.queue.Slots == 0 || len(d.idle) >= d.queue.Slots {
+		_ = c.Close() // no use for it
+		return
+	}
+	c.idle = now
+	d.idle = append(d.idle, c)
+}
+
+func (d *Deliverer) closeIdle() {
+	for _, c := range d.idle {
+		_ = c.Close() // the target is leaving
+	}
+	d.idle = nil
+}
+
+// endToEnd copies the headers that concern more than one connection.
+func endToEnd(header *fasthttp.ResponseHeader) []carrier.Header {
+	var headers []carrier.Header
+	for name, value := range header.All() {
+		if HopByHop(string(name)) {
+			continue
+		}
+		headers = append(headers, carrier.Header{
+			Name:  append([]byte(nil), name...),
+			Value: append([]byte(nil), value...),
+		})
+	}
+	return headers
+}
+
+// HopByHop reports whether a header, in canonical spelling, concerns one connection only.
+func HopByHop(name string) bool {
+	switch name {
+	case fasthttp.HeaderConnection, "Keep-Alive", "Proxy-Connection", fasthttp.HeaderTransferEncoding,
+		fasthttp.HeaderUpgrade, "Te", "Trailer", fasthttp.HeaderContentLength:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/dialer/dialer.go
@@ -0,0 +1,46 @@
+// Package dialer opens TCP connections that notice a peer that fell silent.
+package dialer
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	keepAliveIdle     = 2 * time.Second // of silence before the first probe
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+// Dial connects to address within limit. Sent bytes that stay unacknowledged for longer
+// than unacked break the connection.
+func Dial(address string, limit, unacked time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: limit,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			err := raw.Control(func(fd uintptr) {
+				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return optionErr
+		},
+	}
+	conn, err := d.Dial("tcp4", address)
+	if err != nil {
+		return nil, merry.Prependf(err, "dial %s", address)
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/proxy/forwarder/forwarder.go
@@ -0,0 +1,365 @@
+// Package forwarder carries a request from the node that took it to a target and decides
+// what may be tried again.
+package forwarder
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"clementinerock/internal/proxy/balancer"
+	"clementinerock/internal/proxy/budgeter"
+	"clementinerock/internal/proxy/carrier"
+	"clementinerock/internal/proxy/matcher"
+)
+
+const (
+	maxHops      = 4                      // nodes that are asked before a request is turned away
+	silence      = 250 * time.Millisecond // beyond the time limit until a silent node is given up
+	defaultRetry = 100 * time.Millisecond // pause that a client is told when nobody knows better
+	maxRetry     = 2 * time.Second
+	leastRetry   = 20 * time.Millisecond // left for another try to be worth it
+)
+
+// Request is one request of a client, whole.
+type Request struct {
+	ID      []byte
+	Route   *matcher.Route
+	Version uint64 // of the configuration that chose the route
+	Arrived time.Time
+	Left    time.Duration // until the client stops waiting
+	Method  []byte
+	URI     []byte
+	Host    []byte
+	Headers []carrier.Header
+	Body    []byte
+	Gone    <-chan struct{} // closed when the client leaves
+}
+
+// Result is what the client is told.
+type Result struct {
+	Verdict Verdict
+	Answer  *carrier.Answer // if answered
+	Retry   time.Duration   // if refused: the pause after which the client may return
+}
+
+// Verdict says what became of a request.
+type Verdict int
+
+// Verdicts on a request.
+const (
+	Answered Verdict = iota
+	Refused          // it has not run and never will
+	Failed           // it may have run
+	Expired          // it was at work when its time was up
+	Left             // the client left
+)
+
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	return [...]string{"answered", "refused", "failed", "expired", "left"}[v]
+}
+
+// Meter takes in measurements.
+type Meter interface {
+	Add(name string, n int64)
+	Observe(name string, d time.Duration)
+}
+
+// Local delivers to this host's target.
+type Local interface {
+	Serve(call *carrier.Call, answer func(*carrier.Answer)) func()
+	State() carrier.State
+}
+
+// Forwarder sends requests to targets, on this host or beside other nodes.
+type Forwarder struct {
+	Log     *zap.Logger
+	Meter   Meter
+	Service string // of this host's target
+	Zone    string
+	Local   Local
+	Hub     *carrier.Hub
+	Budget  func() budgeter.Budget // returns a new service's allowance of repeats
+
+	mu      sync.Mutex
+	budgets map[string]*budgeter.Budget
+	aims    map[string]time.Duration // longest time left seen, by route
+}
+
+func (f *Forwarder) budget(service string) *budgeter.Budget {
+	b, ok := f.budgets[service]
+	if !ok {
+		if f.budgets == nil {
+			f.budgets = make(map[string]*budgeter.Budget)
+		}
+		fresh := f.Budget()
+		b = &fresh
+		f.budgets[service] = b
+	}
+	return b
+}
+
+func (f *Forwarder) count(service string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Request(now)
+}
+
+func (f *Forwarder) mayRepeat(service string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(service).Repeat(now)
+}
+
+// spent estimates how much of the client's patience earlier attempts have used: clients
+// of a route start with the same time limit, and one that returns has less left.
+func (f *Forwarder) spent(route *matcher.Route, left time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.aims == nil {
+		f.aims = make(map[string]time.Duration)
+	}
+	longest := max(f.aims[route.Name], left)
+	f.aims[route.Name] = longest
+	return longest - left
+}
+
+// place is one node with a target of the service.
+type place struct {
+	link *carrier.Link // nil: this host
+	node string
+}
+
+// pass is the state of one request on its way.
+type pass struct {
+	*Request
+	service  string
+	end      time.Time
+	aim      time.Time
+	asked    []string // nodes that refused or failed
+	arrivals int      // at targets
+	attempt  uint64
+	mayRun   bool // an attempt may have run
+	retry    time.Duration
+	reason   string
+}
+
+// Forward brings a request to a target and returns what to tell the client.
+func (f *Forwarder) Forward(request *Request) Result {
+	limit := min(request.Left, request.Route.Timeout)
+	p := &pass{
+		Request: request,
+		service: request.Route.Choose(rand.Float64()),
+		end:     request.Arrived.Add(limit),
+		aim:     request.Arrived.Add(request.Route.Aim - f.spent(request.Route, request.Left)),
+	}
+	f.count(p.service, request.Arrived)
+	for range maxHops {
+		result, done := f.try(p)
+		if done {
+			f.note(p, result)
+			return result
+		}
+	}
+	result := p.giveUp()
+	f.note(p, result)
+	return result
+}
+
+// try makes one attempt. It reports false if another one may follow.
+func (f *Forwarder) try(p *pass) (Result, bool) {
+	now := time.Now()
+	left := p.end.Sub(now)
+	if left < leastRetry {
+		return p.giveUp(), true
+	}
+	to, ok := f.pick(p)
+	if !ok {
+		if p.reason == "" {
+			p.reason = "no target"
+		}
+		return p.giveUp(), true
+	}
+	if p.arrivals > 0 && (p.arrivals >= p.Route.MaxAttempts || !f.mayRepeat(p.service, now)) {
+		p.reason += "; no more attempts"
+		return p.giveUp(), true
+	}
+	p.attempt++
+	call := p.call(now, f.Service)
+	answer := f.exchange(p, to, call, left)
+	if answer == nil {
+		return Result{Verdict: Left}, true
+	}
+	p.asked = append(p.asked, to.node)
+	return f.settle(p, to, call, answer)
+}
+
+// settle decides what an attempt's outcome means for the request.
+func (f *Forwarder) settle(p *pass, to place, call *carrier.Call, answer *carrier.Answer) (Result, bool) {
+	if answer.Outcome == carrier.Unknown && f.void(to, call) {
+		answer.Outcome = carrier.Refused
+	}
+	if answer.Outcome != carrier.Answered {
+		p.reason = to.node + ": " + answer.Reason
+	}
+	switch answer.Outcome {
+	case carrier.Answered:
+		return Result{Verdict: Answered, Answer: answer}, true
+	case carrier.Refused:
+		if answer.Wait > 0 && (p.retry == 0 || answer.Wait < p.retry) {
+			p.retry = answer.Wait
+		}
+		return Result{}, false
+	case carrier.Shed:
+		p.arrivals++
+		return Result{}, false
+	case carrier.Expired:
+		return Result{Verdict: Expired}, true
+	}
+	p.arrivals++
+	p.mayRun = true
+	if !p.Route.Idempotent {
+		return Result{Verdict: Failed}, true
+	}
+	return Result{}, false
+}
+
+// giveUp returns what the client is told when nothing more is tried.
+func (p *pass) giveUp() Result {
+	if p.mayRun {
+		return Result{Verdict: Failed}
+	}
+	retry := p.retry
+	if retry == 0 {
+		retry = defaultRetry
+	}
+	return Result{Verdict: Refused, Retry: min(retry, maxRetry)}
+}
+
+// note logs a request that was not simply answered.
+func (f *Forwarder) note(p *pass, result Result) {
+	f.Meter.Add("request_"+result.Verdict.String(), 1)
+	f.Meter.Observe("request", time.Since(p.Arrived))
+	if result.Verdict == Answered && p.attempt == 1 {
+		return
+	}
+	f.Log.Info("forward: "+result.Verdict.String(),
+		zap.ByteString("id", p.ID),
+		zap.String("route", p.Route.Name),
+		zap.Uint64("version", p.Version),
+		zap.String("service", p.service),
+		zap.Uint64("attempts", p.attempt),
+		zap.Int("arrivals", p.arrivals),
+		zap.String("reason", p.reason),
+		zap.Duration("took", time.Since(p.Arrived)),
+		zap.Duration("limit", p.end.Sub(p.Arrived)),
+		zap.Duration("retry", result.Retry))
+}
+
+func (p *pass) call(now time.Time, caller string) *carrier.Call {
+	return &carrier.Call{
+		ID:         p.ID,
+		Attempt:    p.attempt,
+		Service:    p.service,
+		Rank:       p.Route.Priority,
+		Idempotent: p.Route.Idempotent,
+		Left:       p.end.Sub(now),
+		Aim:        p.aim.Sub(now),
+		Caller:     caller,
+		Method:     p.Method,
+		URI:        p.URI,
+		Host:       p.Host,
+		Headers:    p.Headers,
+		Body:       p.Body,
+	}
+}
+
+// exchange sends a call and waits for its answer, or nil if the client left.
+func (f *Forwarder) exchange(p *pass, to place, call *carrier.Call, left time.Duration) *carrier.Answer {
+	if to.link != nil {
+		return to.link.Exchange(call, p.Gone, left+silence)
+	}
+	answers := make(chan *carrier.Answer, 1)
+	giveUp := f.Local.Serve(call, func(answer *carrier.Answer) { answers <- answer })
+	select {
+	case answer := <-answers:
+		return answer
+	case <-p.Gone:
+		if giveUp != nil {
+			giveUp()
+		}
+		return nil
+	}
+}
+
+// void tries to learn over a fresh link that an attempt never reached its target.
+func (f *Forwarder) void(to place, call *carrier.Call) bool {
+	if call.Idempotent || to.link == nil {
+		return false
+	}
+	link, cleanUp, err := f.Hub.Redial(to.link.Peer.Address)
+	if err != nil {
+		f.Log.Info("forward: attempt can't be settled", zap.ByteString("id", call.ID), zap.String("node", to.node), zap.Error(err))
+		return false
+	}
+	defer cleanUp()
+	if link.Peer.Started != to.link.Peer.Started {
+		return false // the process that had the attempt is gone, and what it knew
+	}
+	return link.Void(call.ID, call.Attempt)
+}
+
+// pick chooses the next place for a request among those not asked yet.
+func (f *Forwarder) pick(p *pass) (place, bool) {
+	var places []place
+	var candidates []balancer.Candidate
+	if p.service == f.Service && !p.wasAsked(f.Hub.Self.Node) {
+		if state := f.Local.State(); state.Serving {
+			places = append(places, place{node: f.Hub.Self.Node})
+			c := candidate(&state)
+			c.Near = true
+			candidates = append(candidates, c)
+		}
+	}
+	for _, l := range f.Hub.Links() {
+		if l.Peer.Service != p.service || p.wasAsked(l.Peer.Node) {
+			continue
+		}
+		state, open, openThen, age := l.State()
+		if !state.Serving {
+			continue
+		}
+		places = append(places, place{link: l, node: l.Peer.Node})
+		c := candidate(&state)
+		c.Near = l.Peer.Zone == f.Zone
+		c.Age, c.Open, c.OpenThen = age, open, openThen
+		candidates = append(candidates, c)
+	}
+	best := balancer.Pick(candidates, rand.Float64)
+	if best < 0 {
+		return place{}, false
+	}
+	return places[best], true
+}
+
+func candidate(state *carrier.State) balancer.Candidate {
+	return balancer.Candidate{
+		Slots:   state.Slots,
+		Busy:    state.InUse + state.Waiting,
+		Mean:    state.Mean,
+		Failing: state.Failing,
+		Cold:    state.Cold,
+	}
+}
+
+func (p *pass) wasAsked(node string) bool {
+	for _, asked := range p.asked {
+		if asked == node {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/matcher/matcher.go
@@ -0,0 +1,146 @@
+// Package matcher holds the operator's configuration as nodes use it and finds the
+// route of a request.
+package matcher
+
+import (
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Table is one whole version of the configuration. It is immutable after Index.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+
+	hosts map[string][]*Route // by host, longest prefix first
+}
+
+// Route says what happens to the requests of one host under one path prefix.
+type Route struct {
+	Name        string
+	Host        string // lower case
+	Prefix      string // begins and ends with a slash
+	Idempotent  bool
+	Timeout     time.Duration // longest time that a caller is kept waiting
+	Aim         time.Duration // latency within which an answer earns full credit
+	Priority    int           // 0 goes first
+	MaxAttempts int           // targets that one request may reach
+	Parts       []Part        // more than one for a split
+}
+
+// Part is a service's share of a route's requests.
+type Part struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a group of like targets.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int // of one target, from all its callers
+}
+
+// Limits bound what a client may send. Zero means no limit.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  time.Duration // in which a request's header must be complete
+	IdleTime    time.Duration // after which an idle connection is closed
+}
+
+// Index checks the table whole and prepares it for Match.
+func (t *Table) Index() error {
+	t.hosts = make(map[string][]*Route)
+	for i := range t.Routes {
+		route := &t.Routes[i]
+		if err := t.check(route); err != nil {
+			return merry.Prependf(err, "version %d, route %q", t.Version, route.Name)
+		}
+		if err := t.insert(route); err != nil {
+			return merry.Prependf(err, "version %d", t.Version)
+		}
+	}
+	return nil
+}
+
+func (t *Table) check(route *Route) error {
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		return merry.Errorf("prefix %q", route.Prefix)
+	}
+	if route.Timeout <= 0 || route.Aim < 0 {
+		return merry.Errorf("timeout %s, aim %s", route.Timeout, route.Aim)
+	}
+	if len(route.Parts) == 0 {
+		return merry.New("no service")
+	}
+	total := 0.0
+	for _, part := range route.Parts {
+		if _, ok := t.Services[part.Service]; !ok {
+			return merry.Errorf("unknown service %q", part.Service)
+		}
+		if part.Weight < 0 {
+			return merry.Errorf("weight %g of %q", part.Weight, part.Service)
+		}
+		total += part.Weight
+	}
+	if total <= 0 {
+		return merry.New("weights add up to nothing")
+	}
+	return nil
+}
+
+// insert keeps the routes of a host ordered by falling prefix length.
+func (t *Table) insert(route *Route) error {
+	routes := t.hosts[route.Host]
+	at := len(routes)
+	for i, other := range routes {
+		if other.Prefix == route.Prefix {
+			return merry.Errorf("routes %q and %q claim %s%s", other.Name, route.Name, route.Host, route.Prefix)
+		}
+		if at == len(routes) && len(other.Prefix) < len(route.Prefix) {
+			at = i
+		}
+	}
+	routes = append(routes, nil)
+	copy(routes[at+1:], routes[at:])
+	routes[at] = route
+	t.hosts[route.Host] = routes
+	return nil
+}
+
+// Match returns the route with the longest prefix that begins the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
+		host = host[:colon]
+	}
+	for _, route := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Choose returns the service of a part, drawn by weight. draw lies in [0, 1).
+func (r *Route) Choose(draw float64) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	total := 0.0
+	for _, part := range r.Parts {
+		total += part.Weight
+	}
+	draw *= total
+	for _, part := range r.Parts {
+		if draw < part.Weight {
+			return part.Service
+		}
+		draw -= part.Weight
+	}
+	return r.Parts[0].Service
+}
--- /dev/null
+++ b/internal/proxy/runner/servers.go
@@ -0,0 +1,183 @@
+package runner
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"go.uber.org/zap"
+
+	"clementinerock/internal/proxy/tracker"
+	"clementinerock/platform"
+)
+
+const (
+	adminIdle   = 10 * time.Second
+	adminBuffer = 4 << 10 // bytes
+)
+
+// serveAt serves HTTP on an address. The clean-up function closes it.
+func serveAt(address string, handler fasthttp.RequestHandler) (func(), error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, merry.Prependf(err, "listen on %s", address)
+	}
+	server := &fasthttp.Server{
+		Handler:               handler,
+		IdleTimeout:           adminIdle,
+		ReadBufferSize:        adminBuffer,
+		WriteBufferSize:       adminBuffer,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+	}
+	go func() {
+		_ = server.Serve(listener) // ends when the listener is closed
+	}()
+	return func() { _ = listener.Close() }, nil
+}
+
+// serveReady answers the platform's question whether clients should be sent here.
+func (n *Node) serveReady() (func(), error) {
+	return serveAt(n.Settings.Ready, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != platform.PathReady {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		if !n.ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	})
+}
+
+// serveControl takes in what the target says of itself.
+func (n *Node) serveControl() (func(), error) {
+	return serveAt(n.Settings.Control, func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != platform.PathReports {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		args := func(name string) string { return string(ctx.QueryArgs().Peek(name)) }
+		report, err := platform.DecodeReport(args, ctx.PostBody())
+		if err != nil {
+			n.Log.Warn("target: report refused", zap.Error(err))
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		if n.observe(report) == tracker.Foreign {
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		}
+		ctx.SetContentType("application/json")
+		ctx.SetBody(platform.AckBody)
+	})
+}
+
+// observe lets the control thread take in a report and waits until it is in force, since
+// its acknowledgement binds.
+func (n *Node) observe(report tracker.Report) tracker.Verdict {
+	verdicts := make(chan tracker.Verdict, 1)
+	n.post(func() {
+		before := n.target.Current
+		verdict := n.target.Observe(report)
+		current := n.target.Current
+		if verdict == tracker.Taken {
+			n.deliverer.Update(current, time.Now())
+		}
+		if verdict != tracker.Taken || before.State != current.State || before.ID != current.ID {
+			n.Log.Info("target: report "+verdict.String(),
+				zap.String("id", report.ID),
+				zap.String("state", report.State.String()),
+				zap.Uint64("sequence", report.Sequence),
+				zap.Int64("born", report.Born),
+				zap.String("service", report.Service),
+				zap.String("address", report.Address),
+				zap.String("before", before.ID+" "+before.State.String()))
+		}
+		verdicts <- verdict
+	})
+	return <-verdicts
+}
+
+// dump is the state of the process.
+type dump struct {
+	Node       string           `json:"node"`
+	Started    time.Time        `json:"started"`
+	Stopping   bool             `json:"stopping"`
+	Version    uint64           `json:"version"`
+	Target     tracker.Report   `json:"target"`
+	Serving    bool             `json:"serving"`
+	Slots      int              `json:"slots"`
+	InUse      int              `json:"use"`
+	Waiting    int              `json:"waiting"`
+	MeanMillis float64          `json:"mean"`
+	Links      []dumpLink       `json:"links"`
+	Counts     map[string]int64 `json:"counts"`
+	Dropped    int64            `json:"dropped"`
+}
+
+type dumpLink struct {
+	Node    string  `json:"node"`
+	Zone    string  `json:"zone"`
+	Service string  `json:"service"`
+	Serving bool    `json:"serving"`
+	Busy    int     `json:"busy"`
+	Open    int     `json:"open"`
+	Version uint64  `json:"version"`
+	Age     float64 `json:"age"` // seconds
+}
+
+func (n *Node) dump() dump {
+	targets := make(chan tracker.Report, 1)
+	n.post(func() { targets <- n.target.Current })
+	state := n.deliverer.State()
+	d := dump{
+		Node:       n.self.Node,
+		Started:    n.started,
+		Stopping:   n.stopping.Load(),
+		Version:    n.version(),
+		Target:     <-targets,
+		Serving:    state.Serving,
+		Slots:      state.Slots,
+		InUse:      state.InUse,
+		Waiting:    state.Waiting,
+		MeanMillis: float64(state.Mean) / float64(time.Millisecond),
+		Counts:     n.Meter.Snapshot(),
+		Dropped:    n.Dropped(),
+	}
+	for _, l := range n.hub.Links() {
+		state, open, _, age := l.State()
+		d.Links = append(d.Links, dumpLink{
+			Node:    l.Peer.Node,
+			Zone:    l.Peer.Zone,
+			Service: l.Peer.Service,
+			Serving: state.Serving,
+			Busy:    state.InUse + state.Waiting,
+			Open:    open,
+			Version: state.Version,
+			Age:     age.Seconds(),
+		})
+	}
+	return d
+}
+
+// serveMetrics serves counters, histograms and the dump.
+func (n *Node) serveMetrics() (func(), error) {
+	metrics := fasthttpadaptor.NewFastHTTPHandler(n.Meter.Handler())
+	return serveAt(n.Settings.Metrics, func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/metrics":
+			metrics(ctx)
+		case "/v1/dump":
+			ctx.SetContentType("application/json")
+			if err := json.NewEncoder(ctx).Encode(n.dump()); err != nil {
+				n.Log.Warn("node: dump failed", zap.Error(err))
+			}
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	})
+}
--- /dev/null
+++ b/internal/proxy/tracker/tracker.go
@@ -0,0 +1,116 @@
+// Package tracker orders what the target on this host says of itself.
+package tracker
+
+import "time"
+
+// State says whether a target takes work.
+type State int
+
+// States of a target. The zero value is one that has not been heard of since this
+// process started.
+const (
+	Unheard State = iota
+	Serving
+	Draining
+	Gone
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Serving:
+		return "serving"
+	case Draining:
+		return "draining"
+	case Gone:
+		return "gone"
+	}
+	return "unheard"
+}
+
+// Report is one statement of a target about itself.
+type Report struct {
+	ID       string
+	Service  string
+	Address  string
+	Slots    int
+	State    State
+	Cold     time.Duration // for which the target remains slow
+	Sequence uint64        // rises with each report of one start
+	Born     int64         // Unix milliseconds of the target's start; 0 if unknown
+}
+
+// Verdict says what became of a report.
+type Verdict int
+
+// Verdicts on a report.
+const (
+	Taken   Verdict = iota
+	Stale           // overtaken by a later report
+	Foreign         // not about this host's target
+)
+
+// String returns the name of the verdict.
+func (v Verdict) String() string {
+	switch v {
+	case Taken:
+		return "taken"
+	case Stale:
+		return "stale"
+	}
+	return "foreign"
+}
+
+// Tracker holds the newest report of the target at one address. It answers the pattern in
+// which heartbeats are delayed: one of an earlier start, or from before a drain, must not
+// bring a target back.
+type Tracker struct {
+	Service string
+	Address string
+	Current Report
+}
+
+// Observe takes in a report.
+func (t *Tracker) Observe(report Report) Verdict {
+	if report.State == Gone {
+		return t.observeLeave(report)
+	}
+	if report.Service != t.Service || report.Address != t.Address {
+		return Foreign
+	}
+	if !t.newer(report) {
+		return Stale
+	}
+	t.Current = report
+	return Taken
+}
+
+// observeLeave takes in that a start of the target ends. A start of which nothing was
+// heard is remembered too, so that its delayed heartbeats count for nothing.
+func (t *Tracker) observeLeave(report Report) Verdict {
+	if t.Current.State != Unheard && !t.sameStart(report) && !(report.Born > t.Current.Born) {
+		return Stale
+	}
+	if t.sameStart(report) {
+		t.Current.State = Gone
+		return Taken
+	}
+	t.Current = report
+	return Taken
+}
+
+func (t *Tracker) sameStart(report Report) bool {
+	return report.ID == t.Current.ID && (report.Born == 0 || report.Born == t.Current.Born)
+}
+
+func (t *Tracker) newer(report Report) bool {
+	current := &t.Current
+	if current.State == Unheard {
+		return true
+	}
+	if t.sameStart(report) {
+		return current.State != Gone && report.Sequence > current.Sequence &&
+			!(current.State == Draining && report.State == Serving)
+	}
+	return report.Born > current.Born
+}
