Let calls of running requests go first and returning clients last

Change: classes in the queue; a call of a running request is recognised by its id and admitted as long as it can end in time; waits are bounded by a share of the goal and corrected by how long they really were.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -8,14 +8,41 @@
 
 // Job is one call that asks for a slot.
 type Job struct {
-	Rank     int                      // lower goes first
+	Class
+
 	Arrived  time.Time                // at this node
 	Deadline time.Time                // after which nobody waits for the answer
 	Aim      time.Time                // until which an answer earns full credit
 	Start    func()                   // called once the job has a slot
 	Refuse   func(wait time.Duration) // called if a waiting job is turned away
 
-	state jobState
+	Goal time.Duration // latency within which the route's answers earn full credit
+
+	rank     int
+	state    jobState
+	expected time.Duration // wait that was expected when it arrived
+}
+
+// Class is what sets jobs apart.
+type Class struct {
+	Priority int  // 0 goes first
+	Nested   bool // made by a running request, which holds its own slot meanwhile
+	Returned bool // turned away before
+}
+
+// rank orders classes; lower goes first. A nested call goes before all else, since a slot
+// elsewhere is held until it ends, and the work done there is lost if it is refused. Of
+// equals in priority, one that was turned away before goes last: its aim is lost mostly,
+// and if it went first, it would make the others late in turn.
+func (c Class) rank() int {
+	if c.Nested {
+		return 0
+	}
+	rank := 1 + 2*c.Priority
+	if c.Returned {
+		rank++
+	}
+	return min(max(rank, 1), ranks-1)
 }
 
 // Waiting reports whether the job waits for a slot.
@@ -34,7 +61,12 @@
 const (
 	startCost   = 50 * time.Millisecond // of a job, before any was measured
 	costWeight  = 0.1                   // of a new sample in the mean time in a slot
-	lateShare   = 0.35                  // of the slots' work that jobs past their aim may wait for
+	lateShare   = 0.35                  // of a mean time in a slot that a job may wait for which the aim is lost anyway
+	freshShare  = 0.3                   // of its goal that a job may wait
+	returnShare = 0.6                   // of its goal that a job may wait that was turned away before
+	errorWeight = 0.05                  // of a new sample in the ratio of actual to expected waits
+	leastError  = 0.5
+	mostError   = 6.0
 	maxWaitings = 8                     // waiting jobs per slot
 	minRetry    = 30 * time.Millisecond // least pause that a refused caller is told
 	ranks       = 16
@@ -53,6 +85,7 @@
 	waiting int
 	mean    [ranks]time.Duration // time in a slot by rank
 	overall time.Duration
+	error   [ranks]float64 // actual waits as a multiple of the expected ones
 }
 
 // Load is what other nodes are told of a queue.
@@ -82,22 +115,24 @@
 	return q.mean[rank]
 }
 
-func clampRank(rank int) int { return min(max(rank, 0), ranks-1) }
-
 // Offer starts a job, lets it wait, or refuses it with the pause after which it is likely
 // to be taken.
 func (q *Queue) Offer(job *Job, now time.Time) (admitted bool, retry time.Duration) {
-	job.Rank = clampRank(job.Rank)
+	job.rank = job.Class.rank()
 	if q.InUse < q.Slots && q.waiting == 0 {
 		q.start(job)
 		return true, 0
 	}
-	wait := q.expected(job.Rank)
+	wait := q.expected(job.rank)
+	job.expected = wait
+	if factor := q.error[job.rank]; factor > 0 {
+		wait = time.Duration(factor * float64(wait))
+	}
 	if q.Slots == 0 || !q.worthwhile(job, now, wait) {
 		return false, max(wait, minRetry)
 	}
 	job.state = waiting
-	q.lines[job.Rank] = append(q.lines[job.Rank], job)
+	q.lines[job.rank] = append(q.lines[job.rank], job)
 	q.waiting++
 	q.Fill(now)
 	return true, 0
@@ -119,17 +154,23 @@
 // worthwhile reports whether a job that waits so long is still likely to be of use, and
 // does not crowd out others that are.
 func (q *Queue) worthwhile(job *Job, now time.Time, wait time.Duration) bool {
-	if q.waiting >= maxWaitings*q.Slots {
+	end := now.Add(wait + q.cost(job.rank))
+	if end.After(job.Deadline) {
 		return false
 	}
-	end := now.Add(wait + q.cost(job.Rank))
-	if end.After(job.Deadline) {
+	if job.Nested {
+		return true
+	}
+	if q.waiting >= maxWaitings*q.Slots {
 		return false
 	}
-	if !end.After(job.Aim) {
+	if wait <= time.Duration(lateShare*float64(q.meanTime())) {
 		return true
 	}
-	return wait <= time.Duration(lateShare*float64(q.meanTime()))
+	if job.Returned {
+		return wait <= time.Duration(returnShare*float64(job.Goal))
+	}
+	return wait <= time.Duration(freshShare*float64(job.Goal)) && !end.After(job.Aim)
 }
 
 // Fill gives free slots to waiting jobs.
@@ -139,10 +180,25 @@
 		if job == nil {
 			return
 		}
+		q.correct(job, now.Sub(job.Arrived))
 		q.start(job)
 	}
 }
 
+// correct learns how far a wait was from what was expected. Jobs of a higher rank that come
+// later push in, so waits of lower ranks are longer than the line that they joined.
+func (q *Queue) correct(job *Job, waited time.Duration) {
+	if job.expected <= 0 {
+		return
+	}
+	sample := min(max(float64(waited)/float64(job.expected), leastError), mostError)
+	factor := &q.error[job.rank]
+	if *factor == 0 {
+		*factor = 1
+	}
+	*factor += errorWeight * (sample - *factor)
+}
+
 func (q *Queue) start(job *Job) {
 	job.state = running
 	q.InUse++
@@ -175,7 +231,7 @@
 	job.state = ended
 	q.InUse--
 	if held > 0 {
-		q.learn(&q.mean[job.Rank], held)
+		q.learn(&q.mean[job.rank], held)
 		q.learn(&q.overall, held)
 	}
 	q.Fill(now)
@@ -194,10 +250,10 @@
 	if job.state != waiting {
 		return false
 	}
-	line := q.lines[job.Rank]
+	line := q.lines[job.rank]
 	for i, other := range line {
 		if other == job {
-			q.lines[job.Rank] = append(line[:i:i], line[i+1:]...)
+			q.lines[job.rank] = append(line[:i:i], line[i+1:]...)
 			q.waiting--
 			job.state = ended
 			return true
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -38,10 +38,13 @@
 	ID         []byte   // of the request, as its client sent it
 	Attempt    uint64   // tells apart deliveries of one request
 	Service    string
-	Rank       int           // lower goes first
+	Priority   int           // 0 goes first
+	Nested     bool          // made by a target while it runs another request
+	Returned   bool          // its client was turned away before
 	Idempotent bool          // may run more than once
 	Left       time.Duration // until nobody waits for the answer any more
 	Aim        time.Duration // until an answer is late; may be negative
+	Goal       time.Duration // latency within which the route's answers earn full credit
 	Caller     string        // service on the host where the request began
 	Method     []byte
 	URI        []byte
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -46,7 +46,8 @@
 	down     time.Time // until when the target is taken to be unreachable
 	idle     []*conn
 	attempts deduper.Deduper
-	failing  float64 // share of recent calls
+	failing  float64        // share of recent calls
+	running  map[string]int // calls at work in the target, by request id
 }
 
 // delivery is one call on its way.
@@ -156,9 +157,10 @@
 func (d *Deliverer) Serve(call *carrier.Call, answer func(*carrier.Answer)) func() {
 	now := time.Now()
 	v := &delivery{call: call, answer: answer}
-	v.Rank = call.Rank
+	v.Class = admitter.Class{Priority: call.Priority, Nested: call.Nested, Returned: call.Returned}
 	v.Deadline = now.Add(call.Left - leastLeft)
 	v.Aim = now.Add(call.Aim)
+	v.Goal = call.Goal
 	v.Arrived = now
 	v.Start = func() { go d.run(v) }
 	v.Refuse = func(wait time.Duration) { go d.refuse(v, "turned away", wait) }
@@ -224,6 +226,30 @@
 	}
 }
 
+// Runs reports whether the target runs a request from whose id another id was derived by
+// adding to its end.
+func (d *Deliverer) Runs(derived []byte) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.running {
+		if len(id) < len(derived) && id == string(derived[:len(id)]) {
+			return true
+		}
+	}
+	return false
+}
+
+// mark counts a request that the target runs, or no longer runs.
+func (d *Deliverer) mark(id []byte, change int) {
+	if d.running == nil {
+		d.running = make(map[string]int)
+	}
+	d.running[string(id)] += change
+	if d.running[string(id)] <= 0 {
+		delete(d.running, string(id))
+	}
+}
+
 // run hands a call that has a slot to the target.
 func (d *Deliverer) run(v *delivery) {
 	started := time.Now()
@@ -353,8 +379,14 @@
 	}
 	d.mu.Lock()
 	v.conn = c
+	d.mark(v.call.ID, 1)
 	gaveUp := v.gaveUp
 	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		d.mark(v.call.ID, -1)
+		d.mu.Unlock()
+	}()
 	if gaveUp {
 		_ = c.Close() // the client left before anything was sent
 		return &carrier.Answer{Outcome: carrier.Refused, Reason: "given up"}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -16,11 +16,14 @@
 )
 
 const (
-	maxHops      = 4                      // nodes that are asked before a request is turned away
-	silence      = 250 * time.Millisecond // beyond the time limit until a silent node is given up
-	defaultRetry = 100 * time.Millisecond // pause that a client is told when nobody knows better
-	maxRetry     = 2 * time.Second
-	leastRetry   = 20 * time.Millisecond // left for another try to be worth it
+	maxHops       = 4                      // nodes that are asked before a request is turned away
+	silence       = 250 * time.Millisecond // beyond the time limit until a silent node is given up
+	defaultRetry  = 100 * time.Millisecond // pause that a client is told when nobody knows better
+	maxRetry      = 2 * time.Second
+	leastRetry    = 20 * time.Millisecond // left for another try to be worth it
+	clientTravel  = 15 * time.Millisecond // of a request and its answer between client and node
+	leastPatience = 0.84                  // of the longest time limit of a route's clients, that all of them have at first
+	returnedAim   = 0.6                   // of a route's aim, from its return, for which a returning client may wait
 )
 
 // Request is one request of a client, whole.
@@ -72,6 +75,8 @@
 type Local interface {
 	Serve(call *carrier.Call, answer func(*carrier.Answer)) func()
 	State() carrier.State
+	// Runs reports whether the target runs a request from which an id was derived.
+	Runs(derived []byte) bool
 }
 
 // Forwarder sends requests to targets, on this host or beside other nodes.
@@ -86,7 +91,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
-	aims    map[string]time.Duration // longest time left seen, by route
+	longest map[string]time.Duration // time left that a client had, by route
 }
 
 func (f *Forwarder) budget(service string) *budgeter.Budget {
@@ -114,17 +119,21 @@
 	return f.budget(service).Repeat(now)
 }
 
-// spent estimates how much of the client's patience earlier attempts have used: clients
-// of a route start with the same time limit, and one that returns has less left.
+// spent estimates how much of a client's patience earlier attempts have used, and 0 for a
+// first attempt. Clients of a route start with a time limit of their own, all within a
+// share of the longest; one with less left than that has been here before.
 func (f *Forwarder) spent(route *matcher.Route, left time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.aims == nil {
-		f.aims = make(map[string]time.Duration)
+	if f.longest == nil {
+		f.longest = make(map[string]time.Duration)
 	}
-	longest := max(f.aims[route.Name], left)
-	f.aims[route.Name] = longest
-	return longest - left
+	longest := max(f.longest[route.Name], left)
+	f.longest[route.Name] = longest
+	if left >= time.Duration(leastPatience*float64(longest)) {
+		return 0
+	}
+	return time.Duration((1+leastPatience)/2*float64(longest)) - left
 }
 
 // place is one node with a target of the service.
@@ -139,6 +148,8 @@
 	service  string
 	end      time.Time
 	aim      time.Time
+	nested   bool
+	returned bool
 	asked    []string // nodes that refused or failed
 	arrivals int      // at targets
 	attempt  uint64
@@ -154,8 +165,15 @@
 		Request: request,
 		service: request.Route.Choose(rand.Float64()),
 		end:     request.Arrived.Add(limit),
-		aim:     request.Arrived.Add(request.Route.Aim - f.spent(request.Route, request.Left)),
+		nested:  f.Local.Runs(request.ID),
+	}
+	spent := f.spent(request.Route, request.Left)
+	aim := request.Route.Aim - spent
+	if !p.nested && spent > 0 {
+		p.returned = true
+		aim = max(aim, time.Duration(returnedAim*float64(request.Route.Aim)))
 	}
+	p.aim = request.Arrived.Add(aim - clientTravel)
 	f.count(p.service, request.Arrived)
 	for range maxHops {
 		result, done := f.try(p)
@@ -264,10 +282,13 @@
 		ID:         p.ID,
 		Attempt:    p.attempt,
 		Service:    p.service,
-		Rank:       p.Route.Priority,
+		Priority:   p.Route.Priority,
+		Nested:     p.nested,
+		Returned:   p.returned,
 		Idempotent: p.Route.Idempotent,
 		Left:       p.end.Sub(now),
 		Aim:        p.aim.Sub(now),
+		Goal:       p.Route.Aim,
 		Caller:     caller,
 		Method:     p.Method,
 		URI:        p.URI,
