Report waits by priority and leave out targets that would turn a request away

Cause: at the crest a request was carried to up to four full targets, bodies included. Change: a target's node reports the wait that a new call would have, by priority; a node that knows all targets to be past the longest wait refuses at once.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -93,12 +93,23 @@
 	Slots   int
 	InUse   int
 	Waiting int
-	Mean    time.Duration // time in a slot
+	Mean    time.Duration             // time in a slot
+	Waits   [Priorities]time.Duration // that a new job is expected to wait, by priority
 }
 
+// Priorities is the number of priorities whose waits are reported; lower ones count as the
+// last.
+const Priorities = 4
+
 // Load returns the present load.
 func (q *Queue) Load() Load {
-	return Load{Slots: q.Slots, InUse: q.InUse, Waiting: q.waiting, Mean: q.meanTime()}
+	load := Load{Slots: q.Slots, InUse: q.InUse, Waiting: q.waiting, Mean: q.meanTime()}
+	if q.InUse >= q.Slots {
+		for i := range load.Waits {
+			load.Waits[i] = q.corrected(Class{Priority: i}.rank())
+		}
+	}
+	return load
 }
 
 func (q *Queue) meanTime() time.Duration {
@@ -123,11 +134,8 @@
 		q.start(job)
 		return true, 0
 	}
-	wait := q.expected(job.rank)
-	job.expected = wait
-	if factor := q.error[job.rank]; factor > 0 {
-		wait = time.Duration(factor * float64(wait))
-	}
+	job.expected = q.expected(job.rank)
+	wait := q.corrected(job.rank)
 	if q.Slots == 0 || !q.worthwhile(job, now, wait) {
 		return false, max(wait, minRetry)
 	}
@@ -151,6 +159,20 @@
 	return work / time.Duration(slots)
 }
 
+// corrected returns the expected wait, corrected by how far earlier ones were off.
+func (q *Queue) corrected(rank int) time.Duration {
+	wait := q.expected(rank)
+	if factor := q.error[rank]; factor > 0 {
+		wait = time.Duration(factor * float64(wait))
+	}
+	return wait
+}
+
+// FreshWait returns how long a job with a goal may be expected to wait to be let in.
+func FreshWait(goal time.Duration) time.Duration {
+	return time.Duration(freshShare * float64(goal))
+}
+
 // worthwhile reports whether a job that waits so long is still likely to be of use, and
 // does not crowd out others that are.
 func (q *Queue) worthwhile(job *Job, now time.Time, wait time.Duration) bool {
@@ -170,7 +192,7 @@
 	if job.Returned {
 		return wait <= time.Duration(returnShare*float64(job.Goal))
 	}
-	return wait <= time.Duration(freshShare*float64(job.Goal)) && !end.After(job.Aim)
+	return wait <= FreshWait(job.Goal) && !end.After(job.Aim)
 }
 
 // Fill gives free slots to waiting jobs.
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -13,6 +13,7 @@
 	Slots    int
 	Busy     int           // calls in slots or waiting, when reported
 	Mean     time.Duration // time in a slot
+	Wait     time.Duration // that a call of the same priority was expected to wait, when reported
 	Failing  float64       // share of recent calls that the target shed or failed
 	Cold     time.Duration // for which the target remains slow
 	Age      time.Duration // of the report
@@ -21,14 +22,42 @@
 }
 
 const (
-	startMean    = 50 * time.Millisecond  // time in a slot before any was measured
-	reportHalf   = 300 * time.Millisecond // in which the others' share of a report loses half its weight
-	farShare     = 0.6                    // of a mean time in a slot that a call to another failure domain must gain
-	coldFactor   = 2.0                    // by which a cold target is slower
-	failurePrice = 3.0                    // mean times in a slot that a failed call costs
-	jitter       = 0.15                   // of the score, so that nodes with the same reports differ
+	startMean     = 50 * time.Millisecond  // time in a slot before any was measured
+	reportHalf    = 300 * time.Millisecond // in which the others' share of a report loses half its weight
+	farShare      = 0.6                    // of a mean time in a slot that a call to another failure domain must gain
+	coldFactor    = 2.0                    // by which a cold target is slower
+	failurePrice  = 3.0                    // mean times in a slot that a failed call costs
+	occupiedShare = 0.3                    // of a mean time in a slot by which a full target ranks behind an empty one
+	jitter        = 0.15                   // of the score, so that nodes with the same reports differ
 )
 
+// Expected returns how long a call is likely to wait at the candidate. The calls that this
+// node has sent since the report are added to it; what others had there loses weight with
+// the report's age.
+func (c *Candidate) Expected() time.Duration {
+	fade := math.Exp2(-c.Age.Seconds() / reportHalf.Seconds())
+	since := max(c.Open-c.OpenThen, 0)
+	others := fade * float64(max(c.Busy-c.OpenThen, 0))
+	then := others + float64(c.OpenThen)
+	slots := float64(max(c.Slots, 1))
+	beyond := max(then+float64(since)+1-slots, 0)
+	if c.Wait > 0 {
+		beyond = float64(since)
+	}
+	return time.Duration(fade*float64(c.Wait) + beyond/slots*float64(c.mean()))
+}
+
+func (c *Candidate) mean() time.Duration {
+	mean := c.Mean
+	if mean == 0 {
+		mean = startMean
+	}
+	if c.Cold > 0 {
+		mean = time.Duration(coldFactor * float64(mean))
+	}
+	return mean
+}
+
 // Score returns the time until an answer that a call to the candidate is expected to take,
 // with what a hop between failure domains and failures cost added. typical is the
 // service's mean time in a slot; draw lies in [0, 1).
@@ -37,27 +66,27 @@
 // overload the slow ones; and bursts shorter than the reports' age, where the calls that
 // this node itself has open since the report count in full.
 func Score(c *Candidate, typical time.Duration, draw float64) float64 {
-	mean := c.Mean
-	if mean == 0 {
-		mean = startMean
-	}
-	if c.Cold > 0 {
-		mean = time.Duration(coldFactor * float64(mean))
-	}
-	others := max(float64(c.Busy-c.OpenThen), 0)
-	others *= math.Exp2(-c.Age.Seconds() / reportHalf.Seconds())
-	busy := others + float64(c.Open)
-	wait := max(busy+1-float64(c.Slots), 0) / float64(max(c.Slots, 1)) * mean.Seconds()
-	score := wait + mean.Seconds()
+	mean := c.mean().Seconds()
+	score := c.Expected().Seconds() + mean
 	if !c.Near {
 		score += farShare * typical.Seconds()
 	}
 	score += failurePrice * c.Failing * typical.Seconds()
-	// Among free targets the emptier one goes first.
-	score += 0.3 * mean.Seconds() * busy / float64(max(c.Slots, 1))
+	occupied := float64(max(c.Busy, c.Open)) / float64(max(c.Slots, 1))
+	score += occupiedShare * mean * min(occupied, 1)
 	return score * (1 + jitter*(draw-0.5))
 }
 
+// hopelessFactor is how far beyond the longest wait that a target lets in a candidate's
+// expected wait must be to be left out.
+const hopelessFactor = 1.3
+
+// Hopeless reports whether the candidate is so far beyond the longest wait that it lets in
+// that asking it would only move bytes.
+func (c *Candidate) Hopeless(longest time.Duration) bool {
+	return c.Wait > 0 && c.Expected() > time.Duration(hopelessFactor*float64(longest))
+}
+
 // Pick returns the index of the candidate with the lowest score, or -1 if there is none.
 func Pick(candidates []Candidate, draw func() float64) int {
 	var total time.Duration
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -93,6 +93,7 @@
 	Mean    time.Duration // time in a slot
 	Failing float64       // share of recent calls that the target shed or failed
 	Cold    time.Duration // for which the target remains slow after its start
+	Waits   []int         // milliseconds that a new call is expected to wait, by priority; none while slots are free
 	Version uint64        // of the configuration in force at the node
 }
 
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -129,14 +129,21 @@
 
 func (d *Deliverer) state(now time.Time) carrier.State {
 	load := d.queue.Load()
+	var waits []int
+	if load.InUse >= load.Slots {
+		for _, wait := range load.Waits {
+			waits = append(waits, int(wait.Milliseconds()))
+		}
+	}
 	return carrier.State{
 		Serving: d.closedBy(now) == "",
 		Slots:   load.Slots,
 		InUse:   load.InUse,
 		Waiting: load.Waiting,
-		Mean:    load.Mean,
+		Mean:    load.Mean.Truncate(time.Millisecond / 8),
 		Failing: d.failing,
-		Cold:    max(d.coldEnd.Sub(now), 0),
+		Cold:    max(d.coldEnd.Sub(now), 0).Truncate(time.Millisecond),
+		Waits:   waits,
 		Version: d.Version(),
 	}
 }
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"clementinerock/internal/proxy/admitter"
 	"clementinerock/internal/proxy/balancer"
 	"clementinerock/internal/proxy/budgeter"
 	"clementinerock/internal/proxy/carrier"
@@ -340,7 +341,7 @@
 	if p.service == f.Service && !p.wasAsked(f.Hub.Self.Node) {
 		if state := f.Local.State(); state.Serving {
 			places = append(places, place{node: f.Hub.Self.Node})
-			c := candidate(&state)
+			c := p.candidate(&state)
 			c.Near = true
 			candidates = append(candidates, c)
 		}
@@ -354,11 +355,14 @@
 			continue
 		}
 		places = append(places, place{link: l, node: l.Peer.Node})
-		c := candidate(&state)
+		c := p.candidate(&state)
 		c.Near = l.Peer.Zone == f.Zone
 		c.Age, c.Open, c.OpenThen = age, open, openThen
 		candidates = append(candidates, c)
 	}
+	if !p.nested {
+		places, candidates = p.hopeful(places, candidates)
+	}
 	best := balancer.Pick(candidates, rand.Float64)
 	if best < 0 {
 		return place{}, false
@@ -366,8 +370,33 @@
 	return places[best], true
 }
 
-func candidate(state *carrier.State) balancer.Candidate {
+// hopeful leaves out places that would turn the request away, and notes when the first of
+// them is likely to take it.
+func (p *pass) hopeful(places []place, candidates []balancer.Candidate) ([]place, []balancer.Candidate) {
+	longest := admitter.FreshWait(p.Route.Aim)
+	kept := 0
+	for i := range candidates {
+		if c := &candidates[i]; c.Hopeless(longest) {
+			p.reason = "all full"
+			if wait := c.Expected(); p.retry == 0 || wait < p.retry {
+				p.retry = wait
+			}
+			continue
+		}
+		places[kept], candidates[kept] = places[i], candidates[i]
+		kept++
+	}
+	return places[:kept], candidates[:kept]
+}
+
+// candidate returns what a target's report says for this request.
+func (p *pass) candidate(state *carrier.State) balancer.Candidate {
+	wait := 0
+	if len(state.Waits) > 0 {
+		wait = state.Waits[min(max(p.Route.Priority, 0), len(state.Waits)-1)]
+	}
 	return balancer.Candidate{
+		Wait:    time.Duration(wait) * time.Millisecond,
 		Slots:   state.Slots,
 		Busy:    state.InUse + state.Waiting,
 		Mean:    state.Mean,
