End a planned stop without cutting requests, and use a leaving target a little longer

Ruled out: a cut by the target. Change: after SIGTERM the process waits until no request has come for 400 ms, then takes no more from connections it has not read from, and ends when all are answered; leaving the store is bounded; a target that leaves gets calls for one second of the two allowed; waits end when the goal has passed.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -49,8 +49,11 @@
 
 	stopping atomic.Bool
 	open     atomic.Int64 // requests being served
+	latest   atomic.Int64 // Unix nanoseconds of the latest request
+	listener net.Listener
 	mu       sync.Mutex
 	conns    map[*client]struct{}
+	closed   bool
 }
 
 // client is one connection of a client.
@@ -58,9 +61,16 @@
 	net.Conn
 	reader *bufio.Reader
 	served bool // has carried a request
-	busy   atomic.Bool
+	phase  atomic.Int32
 }
 
+// Phases of a client's connection.
+const (
+	phaseIdle int32 = iota
+	phaseBusy       // a request is read or served
+	phaseClosed
+)
+
 // Start serves an address. The clean-up function closes all connections.
 func (a *Acceptor) Start(address string) (func(), error) {
 	a.conns = make(map[*client]struct{})
@@ -68,6 +78,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "listen for clients")
 	}
+	a.listener = listener
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -82,10 +93,7 @@
 			go a.serve(conn)
 		}
 	}()
-	return func() {
-		_ = listener.Close() // no more clients are wanted
-		a.closeAll()
-	}, nil
+	return a.closeAll, nil
 }
 
 // Stop asks clients to go elsewhere: each answer from now on ends its connection.
@@ -94,17 +102,42 @@
 // Open returns the number of requests being served.
 func (a *Acceptor) Open() int { return int(a.open.Load()) }
 
+// Quiet returns how long ago the latest request came.
+func (a *Acceptor) Quiet() time.Duration {
+	return time.Duration(time.Now().UnixNano() - a.latest.Load())
+}
+
+// Close takes no more requests: connections without one are closed, the others end with
+// their answer.
+func (a *Acceptor) Close() {
+	_ = a.listener.Close() // no more clients are wanted
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	for c := range a.conns {
+		if c.phase.CompareAndSwap(phaseIdle, phaseClosed) {
+			_ = c.Conn.Close() // nothing was read from it
+		}
+	}
+}
+
 func (a *Acceptor) closeAll() {
+	a.Close()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		_ = c.Close() // the process ends
+		_ = c.Conn.Close() // the process ends
 	}
 }
 
 func (a *Acceptor) serve(raw net.Conn) {
 	c := &client{Conn: raw, reader: bufio.NewReaderSize(raw, smallHeader)}
 	a.mu.Lock()
+	if a.closed {
+		a.mu.Unlock()
+		_ = raw.Close() // the process ends; nothing was read
+		return
+	}
 	a.conns[c] = struct{}{}
 	a.mu.Unlock()
 	defer func() {
@@ -145,9 +178,14 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return false // closed, or idle for too long
 	}
-	arrived := time.Now()
 	a.open.Add(1)
 	defer a.open.Add(-1)
+	if !c.phase.CompareAndSwap(phaseIdle, phaseBusy) {
+		return false // closed before anything was read
+	}
+	defer c.phase.CompareAndSwap(phaseBusy, phaseIdle)
+	arrived := time.Now()
+	a.latest.Store(arrived.UnixNano())
 	if c.SetReadDeadline(arrived.Add(limits.HeaderTime)) != nil {
 		return false
 	}
--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -48,6 +48,16 @@
 // Waiting reports whether the job waits for a slot.
 func (j *Job) Waiting() bool { return j.state == waiting }
 
+// Patience returns how long a job that waits is kept at most. One whose goal has passed
+// while it waited is told so, rather than held until nobody wants its answer.
+func (j *Job) Patience(now time.Time) time.Duration {
+	patience := j.Deadline.Sub(now)
+	if j.Nested || j.Goal == 0 {
+		return patience
+	}
+	return min(patience, j.Goal)
+}
+
 type jobState int
 
 const (
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -37,12 +37,14 @@
 	Address string        // of the target
 	Changed func()        // called when the target's state changed for other nodes
 	Version func() uint64 // of the configuration in force
+	Linger  time.Duration // for which a target that has said that it leaves still gets calls
 
 	mu       sync.Mutex
 	queue    admitter.Queue
 	target   tracker.Report
 	coldEnd  time.Time
 	stopping bool
+	leaving  time.Time // until when a target that leaves still gets calls
 	down     time.Time // until when the target is taken to be unreachable
 	idle     []*conn
 	attempts deduper.Deduper
@@ -69,6 +71,13 @@
 		d.failing = 0
 	}
 	changed := report.State != d.target.State || report.ID != d.target.ID || report.Slots != d.target.Slots
+	if d.target.State == tracker.Serving && report.State != tracker.Serving && report.ID == d.target.ID {
+		d.leaving = now.Add(d.Linger)
+		time.AfterFunc(d.Linger, d.leave)
+	}
+	if report.State == tracker.Serving {
+		d.leaving = time.Time{}
+	}
 	d.target = report
 	d.coldEnd = now.Add(report.Cold)
 	d.resize(now)
@@ -78,13 +87,24 @@
 	}
 }
 
+// leave ends the calls to a target that leaves.
+func (d *Deliverer) leave() {
+	d.mu.Lock()
+	d.resize(time.Now())
+	d.mu.Unlock()
+	d.Changed()
+}
+
 // Stop makes the deliverer refuse all further calls, since this process ends.
 func (d *Deliverer) Stop() {
 	d.mu.Lock()
+	known := d.stopping
 	d.stopping = true
 	d.resize(time.Now())
 	d.mu.Unlock()
-	d.Changed()
+	if !known {
+		d.Changed()
+	}
 }
 
 // Busy returns the number of calls that the target works on or that wait for it.
@@ -112,7 +132,7 @@
 	switch {
 	case d.stopping:
 		return "node stopping"
-	case d.target.State != tracker.Serving:
+	case d.target.State != tracker.Serving && !now.Before(d.leaving):
 		return "target " + d.target.State.String()
 	case now.Before(d.down):
 		return "target unreachable"
@@ -198,7 +218,7 @@
 		return "full", wait
 	}
 	if v.Waiting() {
-		v.timer = time.AfterFunc(v.Deadline.Sub(now), func() { d.expire(v) })
+		v.timer = time.AfterFunc(v.Job.Patience(now), func() { d.expire(v) })
 	}
 	return "", 0
 }
@@ -214,7 +234,7 @@
 	removed := d.queue.Remove(&v.Job)
 	d.mu.Unlock()
 	if removed {
-		d.refuse(v, "waited too long", 0)
+		d.refuse(v, "waited too long", v.Goal)
 	}
 }
 
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -20,6 +20,7 @@
 	leaseTime    = 10 * time.Second
 	keepInterval = 3 * time.Second
 	watchWait    = 2 * time.Second        // a watch that fell silent is noticed this late, and one second
+	endLimit     = 300 * time.Millisecond // for removing the own entry; it lapses otherwise
 	firstPause   = 100 * time.Millisecond // after a failed call; doubles
 	longPause    = time.Second
 )
@@ -71,7 +72,13 @@
 	go f.register()
 	return func() {
 		close(f.stop)
-		<-f.ended
+		timer := time.NewTimer(endLimit)
+		defer timer.Stop()
+		select {
+		case <-f.ended:
+		case <-timer.C:
+			f.Log.Info("store: entry is left to lapse")
+		}
 	}
 }
 
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -25,7 +25,9 @@
 	forgetAfter   = 5 * time.Second         // a node without an entry and a link is forgotten
 	deliverOn     = 1200 * time.Millisecond // after SIGTERM, while other nodes take note
 	stayFor       = 2300 * time.Millisecond // after SIGTERM, until the platform has asked twice for readiness
-	stopMargin    = 700 * time.Millisecond  // before SIGKILL
+	quietFor      = 400 * time.Millisecond  // without a request before the process ends
+	stopMargin    = 1000 * time.Millisecond // before SIGKILL, to end what is left
+	longestLinger = time.Second             // for which a target that leaves still gets calls
 	eventsBacklog = 256
 )
 
@@ -90,6 +92,7 @@
 		zap.String("address", n.self.Address))
 	n.loop(stop)
 	n.drain()
+	n.deliverer.Stop()
 	endFinder()
 	n.Log.Info("node: stopped", zap.Duration("ran", time.Since(n.started)))
 	return nil
@@ -116,6 +119,7 @@
 	}
 	n.hub = &carrier.Hub{Self: n.self, Server: n, Log: n.Log, Meet: n.meet}
 	n.deliverer.Changed = n.hub.Announce
+	n.deliverer.Linger = min(longestLinger, s.Bounds.Drain/2)
 	n.forwarder = &forwarder.Forwarder{
 		Log:     n.Log,
 		Meter:   n.Meter,
@@ -310,24 +314,33 @@
 	n.stopping.Store(true)
 	n.acceptor.Stop()
 	n.Log.Info("node: stopping", zap.Int("requests", n.acceptor.Open()), zap.Int("deliveries", n.deliverer.Busy()))
+	n.await(func(spent time.Duration) bool {
+		if spent >= deliverOn {
+			n.deliverer.Stop()
+		}
+		quiet := n.acceptor.Open() == 0 && n.acceptor.Quiet() >= quietFor
+		return quiet && spent >= stayFor
+	}, began)
+	n.acceptor.Close()
+	n.await(func(time.Duration) bool {
+		return n.acceptor.Open() == 0 && n.deliverer.Busy() == 0
+	}, began)
+}
+
+// await goes on serving until done reports true or the process must end. done is given the
+// time since began.
+func (n *Node) await(done func(spent time.Duration) bool, began time.Time) {
 	ticker := time.NewTicker(tick / 5)
 	defer ticker.Stop()
-	delivering := true
 	for {
+		spent := time.Since(began)
+		if done(spent) || spent >= n.Settings.Bounds.Grace-stopMargin {
+			return
+		}
 		select {
 		case event := <-n.events:
 			event()
-			continue
 		case <-ticker.C:
 		}
-		spent := time.Since(began)
-		if delivering && spent >= deliverOn {
-			delivering = false
-			n.deliverer.Stop()
-		}
-		idle := n.acceptor.Open() == 0 && n.deliverer.Busy() == 0
-		if (idle && spent >= stayFor) || spent >= n.Settings.Bounds.Grace-stopMargin {
-			return
-		}
 	}
 }
