Ask for a free slot first, and let a request that waited too long go

Change: up to three attempts take a free slot or are refused at once with a fresh report; a request that waited as long as its goal is turned away for good.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -136,11 +136,14 @@
 	return q.mean[rank]
 }
 
+// Free reports whether a job would get a slot at once.
+func (q *Queue) Free() bool { return q.InUse < q.Slots && q.waiting == 0 }
+
 // Offer starts a job, lets it wait, or refuses it with the pause after which it is likely
 // to be taken.
 func (q *Queue) Offer(job *Job, now time.Time) (admitted bool, retry time.Duration) {
 	job.rank = job.Class.rank()
-	if q.InUse < q.Slots && q.waiting == 0 {
+	if q.Free() {
 		q.start(job)
 		return true, 0
 	}
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -87,6 +87,13 @@
 	return c.Wait > 0 && c.Expected() > time.Duration(hopelessFactor*float64(longest))
 }
 
+// freshReport is the age up to which a report that a target is full is believed without
+// asking.
+const freshReport = 100 * time.Millisecond
+
+// KnownFull reports whether the candidate has just said that it has no free slot.
+func (c *Candidate) KnownFull() bool { return c.Wait > 0 && c.Age < freshReport }
+
 // Pick returns the index of the candidate with the lowest score, or -1 if there is none.
 func Pick(candidates []Candidate, draw func() float64) int {
 	var total time.Duration
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -41,6 +41,7 @@
 	Priority   int           // 0 goes first
 	Nested     bool          // made by a target while it runs another request
 	Returned   bool          // its client was turned away before
+	Eager      bool          // to be refused unless a slot is free
 	Idempotent bool          // may run more than once
 	Left       time.Duration // until nobody waits for the answer any more
 	Aim        time.Duration // until an answer is late; may be negative
@@ -80,6 +81,7 @@
 	Headers []Header      // of the target's answer
 	Body    []byte        // of the target's answer
 	Wait    time.Duration // when refused: after which another try may be worthwhile
+	Waited  bool          // when refused: it waited for so long that trying elsewhere is of no use
 	Load    State         // of the node that answers
 }
 
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -190,10 +190,10 @@
 	v.Goal = call.Goal
 	v.Arrived = now
 	v.Start = func() { go d.run(v) }
-	v.Refuse = func(wait time.Duration) { go d.refuse(v, "turned away", wait) }
+	v.Refuse = func(wait time.Duration) { go d.refuse(v, "turned away", wait, false) }
 	reason, wait := d.admit(v, now)
 	if reason != "" {
-		d.refuse(v, reason, wait)
+		d.refuse(v, reason, wait, false)
 		return nil
 	}
 	return func() { d.giveUp(v) }
@@ -213,6 +213,9 @@
 	if d.queue.Slots == 0 {
 		d.resize(now) // the pause after a refused connection is over
 	}
+	if v.call.Eager && !d.queue.Free() {
+		return "no free slot", 0
+	}
 	admitted, wait := d.queue.Offer(&v.Job, now)
 	if !admitted {
 		return "full", wait
@@ -223,9 +226,15 @@
 	return "", 0
 }
 
-func (d *Deliverer) refuse(v *delivery, reason string, wait time.Duration) {
+func (d *Deliverer) refuse(v *delivery, reason string, wait time.Duration, waited bool) {
 	d.Meter.Add("deliver_refused", 1)
-	v.answer(&carrier.Answer{Outcome: carrier.Refused, Reason: reason, Wait: wait, Load: d.State()})
+	v.answer(&carrier.Answer{
+		Outcome: carrier.Refused,
+		Reason:  reason,
+		Wait:    wait,
+		Waited:  waited,
+		Load:    d.State(),
+	})
 }
 
 // expire turns a call away whose time is up while it waits.
@@ -234,7 +243,7 @@
 	removed := d.queue.Remove(&v.Job)
 	d.mu.Unlock()
 	if removed {
-		d.refuse(v, "waited too long", v.Goal)
+		d.refuse(v, "waited too long", v.Goal, true)
 	}
 }
 
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	maxHops       = 4                      // nodes that are asked before a request is turned away
+	maxHops       = 5                      // nodes that are asked before a request is turned away
+	eagerHops     = 3                      // of them, that are asked for a free slot only
 	silence       = 250 * time.Millisecond // beyond the time limit until a silent node is given up
 	defaultRetry  = 100 * time.Millisecond // pause that a client is told when nobody knows better
 	maxRetry      = 2 * time.Second
@@ -141,6 +142,7 @@
 type place struct {
 	link *carrier.Link // nil: this host
 	node string
+	full bool // has just said that no slot is free
 }
 
 // pass is the state of one request on its way.
@@ -208,11 +210,14 @@
 	}
 	p.attempt++
 	call := p.call(now, f.Service)
+	call.Eager = !to.full && p.attempt <= eagerHops
 	answer := f.exchange(p, to, call, left)
 	if answer == nil {
 		return Result{Verdict: Left}, true
 	}
-	p.asked = append(p.asked, to.node)
+	if !call.Eager || answer.Outcome != carrier.Refused || !answer.Load.Serving {
+		p.asked = append(p.asked, to.node)
+	}
 	return f.settle(p, to, call, answer)
 }
 
@@ -231,6 +236,9 @@
 		if answer.Wait > 0 && (p.retry == 0 || answer.Wait < p.retry) {
 			p.retry = answer.Wait
 		}
+		if answer.Waited {
+			return p.giveUp(), true
+		}
 		return Result{}, false
 	case carrier.Shed:
 		p.arrivals++
@@ -367,6 +375,7 @@
 	if best < 0 {
 		return place{}, false
 	}
+	places[best].full = candidates[best].KnownFull()
 	return places[best], true
 }
 
