Let a few nodes read the store and pass updates between nodes

Ruled out: longer watches, which cost the same per change. Change: the two strongest nodes of a failure domain watch, and whoever does not hear them; the others get updates of whole routes with a digest over the links; requests read more than 3 s after SIGTERM are turned away; routes are found by host and prefix in a map.

--- a/internal/cli/commander/sidecar.go
+++ b/internal/cli/commander/sidecar.go
@@ -52,7 +52,7 @@
 	go handleSignals(log, stop)
 	node := runner.Node{Settings: settings, Log: log, Meter: meter, Dropped: dropped}
 	if err := node.Run(stop); err != nil {
-		log.Error("node: failed", zap.Error(err))
+		log.Error("node: failed", recorder.Err(err))
 		return e.fail(exitFailure, err)
 	}
 	return exitOK
@@ -68,7 +68,7 @@
 		switch {
 		case s == syscall.SIGHUP:
 			_, err := platform.ReadSettings()
-			log.Info("node: settings read again", zap.Error(err))
+			log.Info("node: settings read again", recorder.Err(err))
 		case !stopped:
 			stopped = true
 			close(stop)
--- a/internal/node/recorder/recorder.go
+++ b/internal/node/recorder/recorder.go
@@ -20,6 +20,14 @@
 	flushTimeout = 200 * time.Millisecond
 )
 
+// Err returns an error as a field, without the stack that it may carry.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // sink passes lines to a goroutine that writes them.
 type sink struct {
 	lines   chan []byte
--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/deliverer"
 	"clementinerock/internal/proxy/forwarder"
@@ -48,6 +49,7 @@
 	Table     func() *matcher.Table // the configuration in force, or nil
 
 	stopping atomic.Bool
+	refusing atomic.Bool
 	open     atomic.Int64 // requests being served
 	latest   atomic.Int64 // Unix nanoseconds of the latest request
 	listener net.Listener
@@ -86,7 +88,7 @@
 				return
 			}
 			if err != nil {
-				a.Log.Error("client: accept failed", zap.Error(err))
+				a.Log.Error("client: accept failed", recorder.Err(err))
 				time.Sleep(10 * time.Millisecond) // out of descriptors: others must end first
 				continue
 			}
@@ -99,6 +101,9 @@
 // Stop asks clients to go elsewhere: each answer from now on ends its connection.
 func (a *Acceptor) Stop() { a.stopping.Store(true) }
 
+// Refuse turns all further requests away, since they might not end in time.
+func (a *Acceptor) Refuse() { a.refusing.Store(true) }
+
 // Open returns the number of requests being served.
 func (a *Acceptor) Open() int { return int(a.open.Load()) }
 
@@ -251,7 +256,7 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 		return // the client left in the middle of its request
 	}
-	a.Log.Info("client: request can't be read", zap.Int("status", status), zap.Error(err))
+	a.Log.Info("client: request can't be read", zap.Int("status", status), recorder.Err(err))
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	response.SetStatusCode(status)
@@ -288,7 +293,7 @@
 // handle forwards a request and returns what to tell the client, or nil if it left.
 func (a *Acceptor) handle(in *fasthttp.Request, arrived time.Time, gone <-chan struct{}) *fasthttp.Response {
 	table := a.Table()
-	if table == nil {
+	if table == nil || a.refusing.Load() {
 		return refusal(noConfigRetry)
 	}
 	uri := in.Header.RequestURI()
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/dialer"
 )
 
@@ -17,8 +18,7 @@
 	firstBackoff  = 100 * time.Millisecond
 	longBackoff   = time.Second
 	checkInterval = 200 * time.Millisecond
-	fetchPause    = 250 * time.Millisecond // between two requests for a configuration on one link
-	fetchDelay    = 200 * time.Millisecond // in which the store's own watch should have brought it
+	fetchPause    = 250 * time.Millisecond // in which a peer answers a request for its configuration
 )
 
 // Hub keeps a link to each known node and accepts theirs.
@@ -33,7 +33,8 @@
 	links    []*Link             // that this node dialed
 	accepted map[*Link]struct{}
 	closed   bool
-	behind   time.Time // since when a peer was seen to have a newer configuration
+	fetching uint64    // newest version that was asked for
+	fetched  time.Time // when
 }
 
 type dialing struct {
@@ -87,11 +88,11 @@
 }
 
 func (h *Hub) welcome(conn net.Conn) {
-	l := newLink(conn, h.Server)
+	l := h.newLink(conn)
 	peers, err := l.greet(h.Self, h.Peers())
 	if err != nil {
 		_ = conn.Close() // the peer dials again
-		h.Log.Info("link: greeting failed", zap.String("from", conn.RemoteAddr().String()), zap.Error(err))
+		h.Log.Info("link: greeting failed", zap.String("from", conn.RemoteAddr().String()), recorder.Err(err))
 		return
 	}
 	h.mu.Lock()
@@ -166,7 +167,7 @@
 		case <-timer.C:
 		}
 		if pause < longBackoff {
-			h.Log.Info("link: lost", zap.String("address", address), zap.Error(err))
+			h.Log.Info("link: lost", zap.String("address", address), recorder.Err(err))
 		}
 		pause = min(2*pause, longBackoff)
 	}
@@ -178,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	l := newLink(conn, h.Server)
+	l := h.newLink(conn)
 	peers, err := l.greet(h.Self, h.Peers())
 	if err != nil {
 		_ = conn.Close() // it is dialed again
@@ -256,7 +257,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	l := newLink(conn, h.Server)
+	l := h.newLink(conn)
 	if _, err := l.greet(h.Self, nil); err != nil {
 		_ = conn.Close() // the caller learns of the failure
 		return nil, nil, err
@@ -278,7 +279,7 @@
 	}
 }
 
-// check looks after the links: silent ones are closed, newer configurations fetched.
+// check closes links that are silent.
 func (h *Hub) check(stop <-chan struct{}) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
@@ -290,29 +291,19 @@
 			for _, l := range h.Links() {
 				l.Check(now)
 			}
-			h.catchUp(now)
 		}
 	}
 }
 
-// catchUp asks one peer for its configuration if it has been newer for a while.
-func (h *Hub) catchUp(now time.Time) {
-	own := h.Server.State().Version
-	var newest *Link
-	for _, l := range h.Links() {
-		version := l.state.Load().Version
-		if version > own && (newest == nil || version > newest.state.Load().Version) {
-			newest = l
-		}
-	}
-	if newest == nil {
-		h.behind = time.Time{}
+// newer asks a peer for its configuration, unless another one was asked a moment ago.
+func (h *Hub) newer(l *Link, version uint64) {
+	now := time.Now()
+	h.mu.Lock()
+	if version <= h.fetching && now.Sub(h.fetched) < fetchPause {
+		h.mu.Unlock()
 		return
 	}
-	if h.behind.IsZero() {
-		h.behind = now
-	}
-	if now.Sub(h.behind) >= fetchDelay {
-		newest.Fetch(now, fetchPause)
-	}
+	h.fetching, h.fetched = version, now
+	h.mu.Unlock()
+	go l.fetch(h.Server.Version())
 }
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -11,6 +11,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"clementinerock/internal/proxy/matcher"
 )
 
 const (
@@ -37,10 +39,13 @@
 	Void(id []byte, attempt uint64) bool
 	// State returns what other nodes are told.
 	State() State
-	// Text returns the operator's configuration in force.
-	Text() []byte
-	// Receive takes a configuration that another node sent.
-	Receive(text []byte)
+	// Version returns the version of the configuration in force, or 0.
+	Version() uint64
+	// Since returns what leads from a version to the one in force, or nil.
+	Since(version uint64) *matcher.Update
+	// Receive takes an update that another node sent. If it does not fit, again is called
+	// to ask for the whole configuration.
+	Receive(update *matcher.Update, again func())
 }
 
 // Link is one connection to another node. Calls in both directions share it.
@@ -48,6 +53,7 @@
 	Peer Peer
 
 	server Server
+	newer  func(l *Link, version uint64) // called when the peer has a newer configuration
 	conn   net.Conn
 	reader *bufio.Reader
 	done   chan struct{}
@@ -62,18 +68,18 @@
 	serving map[uint64]func()
 	closed  bool
 
-	state     atomic.Pointer[State]
-	reported  atomic.Int64 // Unix nanoseconds of the state
-	open      atomic.Int64 // calls that wait for an answer
-	openThen  atomic.Int64 // of them, when the state was reported
-	heard     atomic.Int64 // Unix nanoseconds of the last frame
-	asked     atomic.Int64 // Unix nanoseconds of the ping that waits for an answer, or 0
-	fetchedAt atomic.Int64 // Unix nanoseconds of the last fetch
+	state    atomic.Pointer[State]
+	reported atomic.Int64 // Unix nanoseconds of the state
+	open     atomic.Int64 // calls that wait for an answer
+	openThen atomic.Int64 // of them, when the state was reported
+	heard    atomic.Int64 // Unix nanoseconds of the last frame
+	asked    atomic.Int64 // Unix nanoseconds of the ping that waits for an answer, or 0
 }
 
-func newLink(conn net.Conn, server Server) *Link {
+func (h *Hub) newLink(conn net.Conn) *Link {
 	return &Link{
-		server:  server,
+		server:  h.Server,
+		newer:   h.newer,
 		conn:    conn,
 		reader:  bufio.NewReaderSize(conn, readBuffer),
 		done:    make(chan struct{}),
@@ -116,6 +122,9 @@
 
 func (l *Link) report(state *State) {
 	l.state.Store(state)
+	if state.Version > l.server.Version() {
+		l.newer(l, state.Version)
+	}
 	l.openThen.Store(l.open.Load())
 	l.reported.Store(time.Now().UnixNano())
 }
@@ -184,19 +193,38 @@
 	case kindPing:
 		l.reply(kindPong, &stateFrame{State: l.server.State()})
 	case kindFetch:
-		l.reply(kindConfig, &configFrame{Text: l.server.Text()})
-	case kindConfig:
-		var frame configFrame
-		if err := decoding.Unmarshal(body, &frame); err != nil {
-			return err
-		}
-		l.server.Receive(frame.Text)
+		return l.update(body)
+	case kindUpdate:
+		return l.receive(body)
 	case kindVoid, kindVoided:
 		return l.void(frameKind, body)
 	}
 	return nil
 }
 
+func (l *Link) update(body []byte) error {
+	var frame fetchFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	if update := l.server.Since(frame.Have); update != nil {
+		l.reply(kindUpdate, &updateFrame{Update: update})
+	}
+	return nil
+}
+
+func (l *Link) receive(body []byte) error {
+	var frame updateFrame
+	if err := decoding.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	l.server.Receive(frame.Update, func() { l.fetch(0) })
+	return nil
+}
+
+// fetch asks for what leads from a version to the peer's.
+func (l *Link) fetch(have uint64) { l.reply(kindFetch, &fetchFrame{Have: have}) }
+
 // reply sends a frame; a link that can't take it is closed.
 func (l *Link) reply(frameKind kind, body any) {
 	if err := l.send(frameKind, body); err != nil {
@@ -368,18 +396,14 @@
 	return false
 }
 
+// Heard returns how long ago the peer last sent anything.
+func (l *Link) Heard(now time.Time) time.Duration {
+	return time.Duration(now.UnixNano() - l.heard.Load())
+}
+
 // Tell sends the present state.
 func (l *Link) Tell() { l.reply(kindState, &stateFrame{State: l.server.State()}) }
 
-// Fetch asks for the peer's configuration, at most once in a while.
-func (l *Link) Fetch(now time.Time, pause time.Duration) {
-	if now.UnixNano()-l.fetchedAt.Load() < int64(pause) {
-		return
-	}
-	l.fetchedAt.Store(now.UnixNano())
-	l.reply(kindFetch, &numberFrame{})
-}
-
 // Check closes a link whose peer does not answer a ping, and sends one if it was quiet
 // for long.
 func (l *Link) Check(now time.Time) {
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"clementinerock/internal/proxy/matcher"
 )
 
 // kind is the type of a frame.
@@ -20,7 +22,7 @@
 	kindPing
 	kindPong
 	kindFetch
-	kindConfig
+	kindUpdate
 	kindVoid
 	kindVoided
 )
@@ -97,6 +99,7 @@
 	Cold    time.Duration // for which the target remains slow after its start
 	Waits   []int         // milliseconds that a new call is expected to wait, by priority; none while slots are free
 	Version uint64        // of the configuration in force at the node
+	Reads   bool          // follows the store and has heard from it lately
 }
 
 // Peer is where a node is found.
@@ -107,6 +110,7 @@
 	Zone    string
 	Service string
 	Started int64 // Unix nanoseconds of the process's start
+	Power   int   // thousandths of a processor core that the host gives to the process
 }
 
 // hello is the first frame in both directions.
@@ -147,9 +151,14 @@
 	State State
 }
 
-type configFrame struct {
+type fetchFrame struct {
 	_    struct{} `cbor:",toarray"`
-	Text []byte
+	Have uint64   // version that the sender has; 0 if none
+}
+
+type updateFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Update *matcher.Update
 }
 
 var decoding = func() cbor.DecMode {
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"clementinerock/internal/call/deduper"
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/admitter"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/tracker"
@@ -375,7 +376,7 @@
 	if known {
 		return // somebody else tries already
 	}
-	d.Log.Info("deliver: target unreachable", zap.String("target", target), zap.Error(err))
+	d.Log.Info("deliver: target unreachable", zap.String("target", target), recorder.Err(err))
 	d.Changed()
 	time.AfterFunc(retryConnect, d.reconnect)
 }
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -6,12 +6,15 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/xxh3"
 	"go.uber.org/zap"
 
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/platform"
 )
@@ -19,16 +22,21 @@
 const (
 	leaseTime    = 10 * time.Second
 	keepInterval = 3 * time.Second
-	watchWait    = 2 * time.Second        // a watch that fell silent is noticed this late, and one second
+	listFirst    = 300 * time.Millisecond // between two readings of all entries after the start; doubles
+	listInterval = 25 * time.Second       // between two readings of all entries
+	watchWait    = 3 * time.Second        // of one watch; other readers cover one that fell silent
+	rolePause    = 100 * time.Millisecond // between two looks at whether this node is to follow the store
 	endLimit     = 300 * time.Millisecond // for removing the own entry; it lapses otherwise
 	firstPause   = 100 * time.Millisecond // after a failed call; doubles
 	longPause    = time.Second
+	readers      = 2                       // nodes of a failure domain that follow the store
+	readerQuiet  = 1300 * time.Millisecond // of silence after which a reader is not relied on
 )
 
 // Store is the platform's store.
 type Store interface {
 	Get(key string) (platform.Item, uint64, error)
-	Range(prefix string) ([]platform.Item, uint64, error)
+	Range(prefix string) ([]platform.Item, error)
 	Watch(prefix string, after uint64, wait time.Duration) ([]platform.Item, uint64, error)
 	Commit(conditions []platform.Condition, writes []platform.Write, deletes []string) (uint64, error)
 	Grant(ttl time.Duration) (uint64, time.Duration, error)
@@ -42,8 +50,6 @@
 	Config(text []byte)
 	// Joined takes the entry of a node.
 	Joined(peer carrier.Peer)
-	// Lapsed takes that the entry of a node is gone.
-	Lapsed(node string)
 }
 
 // Finder is this node's side of the store.
@@ -52,13 +58,14 @@
 	Store Store
 	Self  carrier.Peer
 	Sink  Sink
+	Hub   *carrier.Hub
 
 	stop    chan struct{}
 	lost    chan struct{} // signals that the own entry is gone
 	ended   chan struct{}
 	lease   uint64
-	seen    map[string]bool // nodes with an entry
-	healthy bool
+	healthy atomic.Bool
+	reads   bool
 }
 
 // Start follows the store until the clean-up function is called, which removes the own
@@ -67,8 +74,8 @@
 	f.stop = make(chan struct{})
 	f.lost = make(chan struct{}, 1)
 	f.ended = make(chan struct{})
-	f.seen = make(map[string]bool)
 	go f.follow()
+	go f.list()
 	go f.register()
 	return func() {
 		close(f.stop)
@@ -96,15 +103,70 @@
 
 // spread draws a pause around a mean, so that nodes do not call in step.
 func spread(pause time.Duration) time.Duration {
+	if pause == 0 {
+		return 0
+	}
 	return pause/2 + rand.N(pause)
 }
 
-// follow reads everything once and then waits for changes.
+// Fresh reports whether this node follows the store and has heard from it lately.
+func (f *Finder) Fresh() bool { return f.healthy.Load() }
+
+// Reader decides whether a node follows the store: the strongest few of its failure domain
+// do, and everyone who can't rely on them. peers are the nodes of the same failure domain
+// that it hears, with whether they follow the store.
+//
+// It answers the pattern in which each change is read by every node at once, and the one
+// in which a node is cut off from those that read for it.
+func Reader(self carrier.Peer, peers map[carrier.Peer]bool) bool {
+	before := 0
+	fresh := false
+	for peer, reads := range peers {
+		if goesBefore(peer, self) {
+			before++
+		}
+		fresh = fresh || reads
+	}
+	return before < readers || !fresh
+}
+
+func goesBefore(a, b carrier.Peer) bool {
+	if a.Power != b.Power {
+		return a.Power > b.Power
+	}
+	if hashA, hashB := xxh3.HashString(a.Node), xxh3.HashString(b.Node); hashA != hashB {
+		return hashA < hashB
+	}
+	return a.Node < b.Node
+}
+
+// reader reports whether this node follows the store at the moment.
+func (f *Finder) reader() bool {
+	now := time.Now()
+	peers := make(map[carrier.Peer]bool)
+	for _, l := range f.Hub.Links() {
+		if l.Peer.Zone == f.Self.Zone && l.Heard(now) < readerQuiet {
+			state, _, _, _ := l.State()
+			peers[l.Peer] = state.Reads
+		}
+	}
+	return Reader(f.Self, peers)
+}
+
+// follow reads the configuration once, and then waits for changes while this node is a
+// reader.
 func (f *Finder) follow() {
 	var revision uint64
 	synced := false
 	pause := firstPause
 	for {
+		if synced && !f.role() {
+			f.healthy.Store(false)
+			if !f.sleep(rolePause) {
+				return
+			}
+			continue
+		}
 		var err error
 		if !synced {
 			revision, err = f.read()
@@ -113,54 +175,45 @@
 			revision, err = f.watch(revision)
 		}
 		f.judge(err)
-		if err == nil {
-			pause = firstPause
-			select {
-			case <-f.stop:
-				return
-			default:
-				continue
-			}
-		}
 		if errors.Is(err, platform.ErrForgotten) {
 			synced = false
 			continue
 		}
+		if err == nil {
+			pause = 0
+		}
 		if !f.sleep(spread(pause)) {
 			return
 		}
-		pause = min(2*pause, longPause)
+		pause = min(max(2*pause, firstPause), longPause)
+	}
+}
+
+// role returns whether this node is a reader, and logs when that changes.
+func (f *Finder) role() bool {
+	reads := f.reader()
+	if reads != f.reads {
+		f.reads = reads
+		f.Log.Info("store: role changed", zap.Bool("reader", reads))
 	}
+	return reads
 }
 
 // judge logs when the store is lost or back.
 func (f *Finder) judge(err error) {
-	if healthy := err == nil; healthy != f.healthy {
-		f.healthy = healthy
+	if healthy := err == nil; healthy != f.healthy.Load() {
+		f.healthy.Store(healthy)
 		if healthy {
 			f.Log.Info("store: reached")
 		} else {
-			f.Log.Warn("store: call failed", zap.Error(err))
+			f.Log.Warn("store: call failed", recorder.Err(err))
 		}
 	}
 }
 
-// read takes in all nodes and the configuration. It returns the revision to watch from.
+// read takes in the configuration. It returns the revision to watch from.
 func (f *Finder) read() (uint64, error) {
-	items, revision, err := f.Store.Range(platform.PrefixNodes)
-	if err != nil {
-		return 0, err
-	}
-	found := make(map[string]bool, len(items))
-	for i := range items {
-		found[f.entry(&items[i])] = true
-	}
-	for node := range f.seen {
-		if !found[node] {
-			f.lapse(node)
-		}
-	}
-	config, _, err := f.Store.Get(platform.KeyConfig)
+	config, revision, err := f.Store.Get(platform.KeyConfig)
 	if errors.Is(err, platform.ErrMissing) {
 		return revision, nil
 	}
@@ -171,49 +224,59 @@
 	return revision, nil
 }
 
-// watch waits for changes after a revision and returns the one to go on from.
+// watch waits for changes after a revision and returns the one to go on from. Of several
+// versions only the last is taken.
 func (f *Finder) watch(revision uint64) (uint64, error) {
-	events, next, err := f.Store.Watch("", revision, watchWait)
+	events, next, err := f.Store.Watch(platform.KeyConfig, revision, watchWait)
 	if err != nil {
 		return revision, err
 	}
-	for i := range events {
-		switch event := &events[i]; {
-		case event.Key == platform.KeyConfig && !event.Removed:
+	for i := len(events) - 1; i >= 0; i-- {
+		if event := &events[i]; event.Key == platform.KeyConfig && !event.Removed {
 			f.Sink.Config(event.Value)
-		case !strings.HasPrefix(event.Key, platform.PrefixNodes):
-		case event.Removed:
-			f.lapse(strings.TrimPrefix(event.Key, platform.PrefixNodes))
-		default:
-			f.entry(event)
+			break
 		}
 	}
 	return max(next, revision), nil
 }
 
-// entry takes in one node's entry and returns its name.
-func (f *Finder) entry(item *platform.Item) string {
-	node := strings.TrimPrefix(item.Key, platform.PrefixNodes)
-	var peer carrier.Peer
-	if err := cbor.Unmarshal(item.Value, &peer); err != nil || peer.Node != node {
-		f.Log.Warn("store: unreadable entry", zap.String("key", item.Key), zap.Error(err))
-		return node
+// list reads the entries of all nodes, often at first, while others may be starting too,
+// and then now and then.
+func (f *Finder) list() {
+	pause := listFirst
+	for {
+		items, err := f.Store.Range(platform.PrefixNodes)
+		if err == nil {
+			f.entries(items)
+		} else {
+			f.Log.Info("store: entries not read", recorder.Err(err))
+		}
+		if !f.sleep(spread(pause)) {
+			return
+		}
+		pause = min(2*pause, listInterval)
 	}
-	f.seen[node] = true
-	f.Sink.Joined(peer)
-	return node
 }
 
-func (f *Finder) lapse(node string) {
-	delete(f.seen, node)
-	if node == f.Self.Node {
+// entries takes in all entries. A missing own one is written again.
+func (f *Finder) entries(items []platform.Item) {
+	own := false
+	for i := range items {
+		var peer carrier.Peer
+		node := strings.TrimPrefix(items[i].Key, platform.PrefixNodes)
+		if err := cbor.Unmarshal(items[i].Value, &peer); err != nil || peer.Node != node {
+			f.Log.Warn("store: unreadable entry", zap.String("key", items[i].Key), recorder.Err(err))
+			continue
+		}
+		own = own || node == f.Self.Node
+		f.Sink.Joined(peer)
+	}
+	if !own {
 		select {
 		case f.lost <- struct{}{}:
 		default: // known already
 		}
-		return
 	}
-	f.Sink.Lapsed(node)
 }
 
 // register keeps the own entry until the finder stops.
@@ -229,11 +292,11 @@
 		}
 		if err == nil {
 			if err := f.Store.End(f.lease); err != nil {
-				f.Log.Info("store: entry is left to lapse", zap.Error(err))
+				f.Log.Info("store: entry is left to lapse", recorder.Err(err))
 			}
 			return
 		}
-		f.Log.Info("store: entry not held", zap.Error(err))
+		f.Log.Info("store: entry not held", recorder.Err(err))
 		if !f.sleep(spread(pause)) {
 			return
 		}
@@ -253,9 +316,15 @@
 		return err
 	}
 	var peer carrier.Peer
-	if err == nil && cbor.Unmarshal(item.Value, &peer) == nil && peer.Started > f.Self.Started {
+	if err == nil {
+		err = cbor.Unmarshal(item.Value, &peer)
+	}
+	if err == nil && peer.Started > f.Self.Started {
 		return errOvertaken
 	}
+	if err == nil && peer.Started == f.Self.Started && item.Lease == f.lease {
+		return nil // it is there, and what said otherwise was old
+	}
 	value, err := cbor.Marshal(&f.Self)
 	if err != nil {
 		return merry.Prepend(err, "encode entry")
@@ -292,7 +361,7 @@
 			return err
 		}
 		if err != nil {
-			f.Log.Info("store: lease not renewed", zap.Error(err))
+			f.Log.Info("store: lease not renewed", recorder.Err(err))
 		}
 	}
 }
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/admitter"
 	"clementinerock/internal/proxy/balancer"
 	"clementinerock/internal/proxy/budgeter"
@@ -332,7 +333,7 @@
 	}
 	link, cleanUp, err := f.Hub.Redial(to.link.Peer.Address)
 	if err != nil {
-		f.Log.Info("forward: attempt can't be settled", zap.ByteString("id", call.ID), zap.String("node", to.node), zap.Error(err))
+		f.Log.Info("forward: attempt can't be settled", zap.ByteString("id", call.ID), zap.String("node", to.node), recorder.Err(err))
 		return false
 	}
 	defer cleanUp()
--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -12,15 +12,17 @@
 // Table is one whole version of the configuration. It is immutable after Index.
 type Table struct {
 	Version  uint64
-	Routes   []Route
+	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
 
-	hosts map[string][]*Route // by host, longest prefix first
+	hosts map[string]map[string]*Route // by host and prefix
 }
 
 // Route says what happens to the requests of one host under one path prefix.
 type Route struct {
+	_ struct{} `cbor:",toarray"`
+
 	Name        string
 	Host        string // lower case
 	Prefix      string // begins and ends with a slash
@@ -34,12 +36,16 @@
 
 // Part is a service's share of a route's requests.
 type Part struct {
+	_ struct{} `cbor:",toarray"`
+
 	Service string
 	Weight  float64
 }
 
 // Service is a group of like targets.
 type Service struct {
+	_ struct{} `cbor:",toarray"`
+
 	Name           string
 	HealthPath     string
 	MaxConnections int // of one target, from all its callers
@@ -47,6 +53,8 @@
 
 // Limits bound what a client may send. Zero means no limit.
 type Limits struct {
+	_ struct{} `cbor:",toarray"`
+
 	HeaderBytes int
 	BodyBytes   int
 	HeaderTime  time.Duration // in which a request's header must be complete
@@ -55,15 +63,21 @@
 
 // Index checks the table whole and prepares it for Match.
 func (t *Table) Index() error {
-	t.hosts = make(map[string][]*Route)
-	for i := range t.Routes {
-		route := &t.Routes[i]
+	t.hosts = make(map[string]map[string]*Route)
+	for _, route := range t.Routes {
 		if err := t.check(route); err != nil {
 			return merry.Prependf(err, "version %d, route %q", t.Version, route.Name)
 		}
-		if err := t.insert(route); err != nil {
-			return merry.Prependf(err, "version %d", t.Version)
+		prefixes := t.hosts[route.Host]
+		if prefixes == nil {
+			prefixes = make(map[string]*Route)
+			t.hosts[route.Host] = prefixes
+		}
+		if other := prefixes[route.Prefix]; other != nil {
+			return merry.Errorf("version %d: routes %q and %q claim %s%s",
+				t.Version, other.Name, route.Name, route.Host, route.Prefix)
 		}
+		prefixes[route.Prefix] = route
 	}
 	return nil
 }
@@ -94,34 +108,21 @@
 	return nil
 }
 
-// insert keeps the routes of a host ordered by falling prefix length.
-func (t *Table) insert(route *Route) error {
-	routes := t.hosts[route.Host]
-	at := len(routes)
-	for i, other := range routes {
-		if other.Prefix == route.Prefix {
-			return merry.Errorf("routes %q and %q claim %s%s", other.Name, route.Name, route.Host, route.Prefix)
-		}
-		if at == len(routes) && len(other.Prefix) < len(route.Prefix) {
-			at = i
-		}
-	}
-	routes = append(routes, nil)
-	copy(routes[at+1:], routes[at:])
-	routes[at] = route
-	t.hosts[route.Host] = routes
-	return nil
-}
-
 // Match returns the route with the longest prefix that begins the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
 		host = host[:colon]
 	}
-	for _, route := range t.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, route.Prefix) {
+	prefixes := t.hosts[strings.ToLower(host)]
+	for len(prefixes) > 0 {
+		slash := strings.LastIndexByte(path, '/')
+		if slash < 0 {
+			break
+		}
+		if route := prefixes[path[:slash+1]]; route != nil {
 			return route
 		}
+		path = path[:slash]
 	}
 	return nil
 }
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"clementinerock/internal/node/counter"
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/acceptor"
 	"clementinerock/internal/proxy/budgeter"
 	"clementinerock/internal/proxy/carrier"
@@ -22,11 +23,13 @@
 
 const (
 	tick          = 250 * time.Millisecond
-	forgetAfter   = 5 * time.Second         // a node without an entry and a link is forgotten
+	forgetAfter   = 30 * time.Second        // without a link, after which a node is no longer dialed
+	historyLength = 8                       // versions from which an update can be made
 	deliverOn     = 1200 * time.Millisecond // after SIGTERM, while other nodes take note
 	stayFor       = 2300 * time.Millisecond // after SIGTERM, until the platform has asked twice for readiness
+	takeFor       = 3 * time.Second         // after SIGTERM, for which new requests are still served
 	quietFor      = 400 * time.Millisecond  // without a request before the process ends
-	stopMargin    = 1000 * time.Millisecond // before SIGKILL, to end what is left
+	stopMargin    = 500 * time.Millisecond  // before SIGKILL, to end what is left
 	longestLinger = time.Second             // for which a target that leaves still gets calls
 	eventsBacklog = 256
 )
@@ -34,8 +37,7 @@
 // known is what the node knows of another one.
 type known struct {
 	carrier.Peer
-	entry bool      // has an entry in the store
-	seen  time.Time // last heard of
+	seen time.Time // last heard of
 }
 
 // Node is the process beside a target.
@@ -47,7 +49,7 @@
 
 	self      carrier.Peer
 	table     atomic.Pointer[matcher.Table]
-	text      atomic.Pointer[[]byte] // of the table
+	history   atomic.Pointer[[]*matcher.Table] // newest first
 	stopping  atomic.Bool
 	started   time.Time
 	events    chan func()
@@ -103,19 +105,21 @@
 	n.started = time.Now()
 	n.events = make(chan func(), eventsBacklog)
 	n.peers = make(map[string]*known)
+	n.history.Store(&[]*matcher.Table{})
 	n.self = carrier.Peer{
 		Node:    s.Node,
 		Address: s.Peer,
 		Zone:    s.Zone,
 		Service: s.Service,
 		Started: n.started.UnixNano(),
+		Power:   s.Power,
 	}
 	n.target = tracker.Tracker{Service: s.Service, Address: s.Target}
 	n.deliverer = &deliverer.Deliverer{
 		Log:     n.Log,
 		Meter:   n.Meter,
 		Address: s.Target,
-		Version: n.version,
+		Version: n.Version,
 	}
 	n.hub = &carrier.Hub{Self: n.self, Server: n, Log: n.Log, Meet: n.meet}
 	n.deliverer.Changed = n.hub.Announce
@@ -131,7 +135,7 @@
 	n.forwarder.Budget = func() budgeter.Budget { return n.budget() }
 	n.acceptor = &acceptor.Acceptor{Log: n.Log, Forwarder: n.forwarder, Table: n.table.Load}
 	store, _ := platform.NewStore(s.Store)
-	n.finder = &finder.Finder{Log: n.Log, Store: store, Self: n.self, Sink: n}
+	n.finder = &finder.Finder{Log: n.Log, Store: store, Self: n.self, Sink: n, Hub: n.hub}
 }
 
 // budget returns this node's share of a service's allowance of repeats.
@@ -169,7 +173,7 @@
 func (n *Node) meetSeeds() {
 	n.post(func() {
 		for _, address := range n.Settings.Seeds {
-			n.learn(carrier.Peer{Address: platform.PeerAddress(address, n.Settings.PeerPort)}, false)
+			n.learn(carrier.Peer{Address: platform.PeerAddress(address, n.Settings.PeerPort)})
 		}
 		n.want()
 	})
@@ -179,7 +183,7 @@
 func (n *Node) meet(peers []carrier.Peer) {
 	n.post(func() {
 		for _, peer := range peers {
-			n.learn(peer, false)
+			n.learn(peer)
 		}
 		n.want()
 	})
@@ -188,24 +192,12 @@
 // Joined takes in a node's entry in the store.
 func (n *Node) Joined(peer carrier.Peer) {
 	n.post(func() {
-		n.learn(peer, true)
+		n.learn(peer)
 		n.want()
 	})
 }
 
-// Lapsed takes in that a node's entry in the store is gone.
-func (n *Node) Lapsed(node string) {
-	n.post(func() {
-		for _, k := range n.peers {
-			if k.Node == node {
-				k.entry = false
-				k.seen = time.Now()
-			}
-		}
-	})
-}
-
-func (n *Node) learn(peer carrier.Peer, entry bool) {
+func (n *Node) learn(peer carrier.Peer) {
 	if peer.Address == "" || peer.Address == n.self.Address {
 		return
 	}
@@ -217,11 +209,10 @@
 	if peer.Started >= k.Started {
 		k.Peer = peer
 	}
-	k.entry = k.entry || entry
 	k.seen = time.Now()
 }
 
-// forget drops nodes that have neither an entry nor a link for a while.
+// forget drops nodes that no link could be made to for a while.
 func (n *Node) forget(now time.Time) {
 	dropped := false
 	for address, k := range n.peers {
@@ -229,7 +220,7 @@
 			k.seen = now
 			continue
 		}
-		if !k.entry && now.Sub(k.seen) > forgetAfter {
+		if now.Sub(k.seen) > forgetAfter {
 			delete(n.peers, address)
 			n.Log.Info("node: forgotten", zap.String("node", k.Node), zap.String("address", address))
 			dropped = true
@@ -250,30 +241,81 @@
 }
 
 // Config takes in the configuration that the store holds.
-func (n *Node) Config(text []byte) { n.post(func() { n.adopt(text, "store") }) }
-
-// Receive takes in a configuration that another node sent.
-func (n *Node) Receive(text []byte) { n.post(func() { n.adopt(text, "peer") }) }
-
-// adopt puts a configuration in force if it is sound and newer than the present one.
-func (n *Node) adopt(text []byte, from string) {
+func (n *Node) Config(text []byte) {
 	table, err := platform.DecodeConfig(text)
 	if err != nil {
-		n.Log.Error("config: refused", zap.String("from", from), zap.Error(err))
+		n.Log.Error("config: refused", zap.String("from", "store"), recorder.Err(err))
 		return
 	}
-	if current := n.table.Load(); current != nil && table.Version <= current.Version {
-		return
+	n.post(func() { n.adopt(table, "store") })
+}
+
+// Receive takes in an update that another node sent.
+func (n *Node) Receive(update *matcher.Update, again func()) {
+	n.post(func() {
+		current := n.table.Load()
+		if current != nil && update.Version <= current.Version {
+			return
+		}
+		table, err := update.Apply(current)
+		if err != nil {
+			n.Log.Warn("config: update refused", zap.Uint64("base", update.Base), recorder.Err(err))
+			if update.Base != 0 {
+				again()
+			}
+			return
+		}
+		n.adopt(table, "peer")
+	})
+}
+
+// adopt puts a configuration in force if it is newer than the present one.
+func (n *Node) adopt(table *matcher.Table, from string) {
+	current := n.table.Load()
+	if current != nil {
+		if table.Version <= current.Version {
+			return
+		}
+		table.Reuse(current)
+		if err := table.Index(); err != nil {
+			n.Log.Error("config: refused", zap.String("from", from), recorder.Err(err))
+			return
+		}
 	}
 	n.table.Store(table)
-	n.text.Store(&text)
+	n.remember(table)
 	n.Log.Info("config: in force",
 		zap.Uint64("version", table.Version),
 		zap.String("from", from),
 		zap.Int("routes", len(table.Routes)))
+	n.hub.Announce()
 }
 
-func (n *Node) version() uint64 {
+// remember keeps the latest versions, from which updates for other nodes are made.
+func (n *Node) remember(table *matcher.Table) {
+	history := append([]*matcher.Table{table}, *n.history.Load()...)
+	history = history[:min(len(history), historyLength)]
+	n.history.Store(&history)
+}
+
+// Since returns the update that leads another node from its version to the one in force.
+func (n *Node) Since(version uint64) *matcher.Update {
+	history := *n.history.Load()
+	if len(history) == 0 {
+		return nil
+	}
+	var base *matcher.Table
+	for _, table := range history {
+		if table.Version == version {
+			base = table
+		}
+	}
+	update := history[0].Since(base)
+	return &update
+}
+
+// Version returns the version of the configuration in force, or 0.
+func (n *Node) Version() uint64 {
 	if table := n.table.Load(); table != nil {
 		return table.Version
 	}
@@ -281,7 +323,11 @@
 }
 
 // State returns what other nodes are told.
-func (n *Node) State() carrier.State { return n.deliverer.State() }
+func (n *Node) State() carrier.State {
+	state := n.deliverer.State()
+	state.Reads = n.finder.Fresh()
+	return state
+}
 
 // Serve delivers a call of another node.
 func (n *Node) Serve(call *carrier.Call, answer func(*carrier.Answer)) func() {
@@ -291,14 +337,6 @@
 // Void forbids an attempt of another node.
 func (n *Node) Void(id []byte, attempt uint64) bool { return n.deliverer.Void(id, attempt) }
 
-// Text returns the text of the configuration in force.
-func (n *Node) Text() []byte {
-	if text := n.text.Load(); text != nil {
-		return *text
-	}
-	return nil
-}
-
 // ready reports whether clients should be sent here.
 func (n *Node) ready() bool {
 	if n.stopping.Load() || n.table.Load() == nil {
@@ -318,15 +356,21 @@
 		if spent >= deliverOn {
 			n.deliverer.Stop()
 		}
-		quiet := n.acceptor.Open() == 0 && n.acceptor.Quiet() >= quietFor
-		return quiet && spent >= stayFor
+		return spent >= stayFor && (n.quiet() || spent >= takeFor)
 	}, began)
+	n.acceptor.Refuse()
+	n.await(func(time.Duration) bool { return n.quiet() }, began)
 	n.acceptor.Close()
 	n.await(func(time.Duration) bool {
 		return n.acceptor.Open() == 0 && n.deliverer.Busy() == 0
 	}, began)
 }
 
+// quiet reports whether no client has sent anything for a while.
+func (n *Node) quiet() bool {
+	return n.acceptor.Open() == 0 && n.acceptor.Quiet() >= quietFor
+}
+
 // await goes on serving until done reports true or the process must end. done is given the
 // time since began.
 func (n *Node) await(done func(spent time.Duration) bool, began time.Time) {
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"go.uber.org/zap"
 
+	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/tracker"
 	"clementinerock/platform"
 )
@@ -63,7 +64,7 @@
 		args := func(name string) string { return string(ctx.QueryArgs().Peek(name)) }
 		report, err := platform.DecodeReport(args, ctx.PostBody())
 		if err != nil {
-			n.Log.Warn("target: report refused", zap.Error(err))
+			n.Log.Warn("target: report refused", recorder.Err(err))
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
 			return
 		}
@@ -138,7 +139,7 @@
 		Node:       n.self.Node,
 		Started:    n.started,
 		Stopping:   n.stopping.Load(),
-		Version:    n.version(),
+		Version:    n.Version(),
 		Target:     <-targets,
 		Serving:    state.Serving,
 		Slots:      state.Slots,
@@ -174,7 +175,7 @@
 		case "/v1/dump":
 			ctx.SetContentType("application/json")
 			if err := json.NewEncoder(ctx).Encode(n.dump()); err != nil {
-				n.Log.Warn("node: dump failed", zap.Error(err))
+				n.Log.Warn("node: dump failed", recorder.Err(err))
 			}
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
