Shorten the lines: 0.15 of the goal for fresh, 0.2 for returned requests

Cause: at the crest the time in the line was what made answers late. Ruled out: 0.3 and 0.5 of the goal, 0.6 for returned ones. Change: two constants of the queue.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -72,8 +72,8 @@
 	startCost   = 50 * time.Millisecond // of a job, before any was measured
 	costWeight  = 0.1                   // of a new sample in the mean time in a slot
 	lateShare   = 0.35                  // of a mean time in a slot that a job may wait for which the aim is lost anyway
-	freshShare  = 0.3                   // of its goal that a job may wait
-	returnShare = 0.6                   // of its goal that a job may wait that was turned away before
+	freshShare  = 0.15                  // of its goal that a job may wait
+	returnShare = 0.2                   // of its goal that a job may wait that was turned away before
 	errorWeight = 0.05                  // of a new sample in the ratio of actual to expected waits
 	leastError  = 0.5
 	mostError   = 6.0
