--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -121,7 +121,7 @@
 	a.closed = true
 	for c := range a.conns {
 		if c.phase.CompareAndSwap(phaseIdle, phaseClosed) {
-			_ = c.Conn.Close() // nothing was read from it
+			_ = c.Close() // nothing was read from it
 		}
 	}
 }
@@ -131,7 +131,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for c := range a.conns {
-		_ = c.Conn.Close() // the process ends
+		_ = c.Close() // the process ends
 	}
 }
 
@@ -274,7 +274,8 @@
 		defer close(ended)
 		_, err := c.reader.Peek(1)
 		var timeout net.Error
-		if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		woken := errors.As(err, &timeout) && timeout.Timeout()
+		if err != nil && !woken {
 			close(left)
 		}
 	}()
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -24,7 +24,7 @@
 const (
 	startMean     = 50 * time.Millisecond  // time in a slot before any was measured
 	reportHalf    = 300 * time.Millisecond // in which the others' share of a report loses half its weight
-	farShare      = 0.6                    // of a mean time in a slot that a call to another failure domain must gain
+	farShare      = 1.2                    // of a mean time in a slot that a call to another failure domain must gain
 	coldFactor    = 2.0                    // by which a cold target is slower
 	failurePrice  = 3.0                    // mean times in a slot that a failed call costs
 	occupiedShare = 0.3                    // of a mean time in a slot by which a full target ranks behind an empty one
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -222,7 +222,7 @@
 		return "full", wait
 	}
 	if v.Waiting() {
-		v.timer = time.AfterFunc(v.Job.Patience(now), func() { d.expire(v) })
+		v.timer = time.AfterFunc(v.Patience(now), func() { d.expire(v) })
 	}
 	return "", 0
 }
--- /dev/null
+++ b/internal/proxy/matcher/matcher_test.go
@@ -0,0 +1,132 @@
+package matcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func route(name, host, prefix string) *Route {
+	return &Route{
+		Name:        name,
+		Host:        host,
+		Prefix:      prefix,
+		Timeout:     time.Second,
+		MaxAttempts: 1,
+		Parts:       []Part{{Service: "s", Weight: 1}},
+	}
+}
+
+func table(version uint64, routes ...*Route) *Table {
+	return &Table{Version: version, Routes: routes, Services: map[string]Service{"s": {Name: "s"}}}
+}
+
+func TestMatch(t *testing.T) {
+	tested := table(1, route("root", "a.example", "/"), route("short", "a.example", "/x/"),
+		route("long", "a.example", "/x/y/"), route("only", "b.example", "/x/"))
+	assert.NilError(t, tested.Index())
+	tests := map[string]struct{ host, path, route string }{
+		"longest prefix":       {"a.example", "/x/y/z", "long"},
+		"the prefix itself":    {"a.example", "/x/y/", "long"},
+		"no slash at the end":  {"a.example", "/x/y", "short"},
+		"root":                 {"a.example", "/other", "root"},
+		"host with port":       {"a.example:8080", "/x/1", "short"},
+		"host in capitals":     {"A.Example", "/x/1", "short"},
+		"no route of the host": {"b.example", "/y/", ""},
+		"unknown host":         {"c.example", "/x/", ""},
+		"not a path":           {"a.example", "x", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			found := tested.Match(test.host, test.path)
+			if test.route == "" {
+				assert.Assert(t, found == nil)
+				return
+			}
+			assert.Equal(t, found.Name, test.route)
+		})
+	}
+}
+
+func TestFaultyTables(t *testing.T) {
+	withPart := func(parts ...Part) *Route {
+		r := route("r", "a.example", "/x/")
+		r.Parts = parts
+		return r
+	}
+	untimed := route("r", "a.example", "/x/")
+	untimed.Timeout = -time.Second
+	tests := map[string]*Table{
+		"unknown service":    table(1, withPart(Part{Service: "none", Weight: 1})),
+		"no service":         table(1, withPart()),
+		"negative weight":    table(1, withPart(Part{Service: "s", Weight: -1}, Part{Service: "s", Weight: 2})),
+		"no weight at all":   table(1, withPart(Part{Service: "s"})),
+		"same place twice":   table(1, route("a", "a.example", "/x/"), route("b", "a.example", "/x/")),
+		"prefix cut short":   table(1, route("a", "a.example", "/x")),
+		"timeout below zero": table(1, untimed),
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Assert(t, test.Index() != nil)
+		})
+	}
+}
+
+func TestChooseFollowsWeights(t *testing.T) {
+	r := Route{Parts: []Part{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[r.Choose(float64(i)/1000)]++
+	}
+	assert.Equal(t, counts["a"], 900)
+	assert.Equal(t, counts["b"], 100)
+}
+
+func drawTable(t *rapid.T, version uint64) *Table {
+	drawn := table(version)
+	for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+		if rapid.Bool().Draw(t, "left out") {
+			continue
+		}
+		r := route(fmt.Sprint("r", i), "a.example", fmt.Sprintf("/%d/", i))
+		r.Timeout = time.Duration(rapid.IntRange(1, 3).Draw(t, "timeout")) * time.Second
+		drawn.Routes = append(drawn.Routes, r)
+	}
+	return drawn
+}
+
+// TestUpdate leads from any version to any other, over the wire's encoding.
+func TestUpdate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, next := drawTable(t, 1), drawTable(t, 2)
+		var from *Table
+		if rapid.Bool().Draw(t, "from a base") {
+			from = base
+		}
+		update := next.Since(from)
+		text, err := cbor.Marshal(&update)
+		assert.NilError(t, err)
+		var received Update
+		assert.NilError(t, cbor.Unmarshal(text, &received))
+		result, err := received.Apply(from)
+		assert.NilError(t, err)
+		assert.Equal(t, result.Digest(), next.Digest())
+		assert.Equal(t, len(result.Routes), len(next.Routes))
+	})
+}
+
+func TestUpdateThatDoesNotFit(t *testing.T) {
+	base := table(1, route("a", "a.example", "/a/"))
+	other := table(3, route("b", "a.example", "/b/"))
+	next := table(2, route("c", "a.example", "/c/"))
+	update := next.Since(base)
+	_, err := update.Apply(other)
+	assert.ErrorContains(t, err, "does not fit")
+	update.Base = 3
+	_, err = update.Apply(other)
+	assert.ErrorContains(t, err, "digest")
+}
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -88,7 +88,7 @@
 // observeLeave takes in that a start of the target ends. A start of which nothing was
 // heard is remembered too, so that its delayed heartbeats count for nothing.
 func (t *Tracker) observeLeave(report Report) Verdict {
-	if t.Current.State != Unheard && !t.sameStart(report) && !(report.Born > t.Current.Born) {
+	if t.Current.State != Unheard && !t.sameStart(report) && report.Born <= t.Current.Born {
 		return Stale
 	}
 	if t.sameStart(report) {
@@ -109,8 +109,8 @@
 		return true
 	}
 	if t.sameStart(report) {
-		return current.State != Gone && report.Sequence > current.Sequence &&
-			!(current.State == Draining && report.State == Serving)
+		returns := current.State == Draining && report.State == Serving
+		return current.State != Gone && report.Sequence > current.Sequence && !returns
 	}
 	return report.Born > current.Born
 }
--- /dev/null
+++ b/internal/proxy/tracker/tracker_test.go
@@ -0,0 +1,98 @@
+package tracker
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	service = "slotboard"
+	address = "10.0.0.1:80"
+)
+
+func beat(id string, born int64, sequence uint64, state State) Report {
+	return Report{ID: id, Service: service, Address: address, Slots: 6, State: state, Sequence: sequence, Born: born}
+}
+
+func TestObserve(t *testing.T) {
+	tests := map[string]struct {
+		reports  []Report
+		verdicts []Verdict
+		id       string
+		state    State
+	}{
+		"first heartbeat": {
+			reports:  []Report{beat("a", 1, 4, Serving)},
+			verdicts: []Verdict{Taken},
+			id:       "a",
+			state:    Serving,
+		},
+		"late heartbeat does not end a drain": {
+			reports:  []Report{beat("a", 1, 4, Serving), beat("a", 1, 6, Draining), beat("a", 1, 5, Serving)},
+			verdicts: []Verdict{Taken, Taken, Stale},
+			id:       "a",
+			state:    Draining,
+		},
+		"a drain is never taken back": {
+			reports:  []Report{beat("a", 1, 4, Draining), beat("a", 1, 5, Serving)},
+			verdicts: []Verdict{Taken, Stale},
+			id:       "a",
+			state:    Draining,
+		},
+		"nothing follows a leave": {
+			reports:  []Report{beat("a", 1, 4, Serving), {ID: "a", State: Gone, Born: 1}, beat("a", 1, 9, Serving)},
+			verdicts: []Verdict{Taken, Taken, Stale},
+			id:       "a",
+			state:    Gone,
+		},
+		"a leave without a time of birth": {
+			reports:  []Report{beat("a", 1, 4, Serving), {ID: "a", State: Gone}, beat("a", 1, 9, Serving)},
+			verdicts: []Verdict{Taken, Taken, Stale},
+			id:       "a",
+			state:    Gone,
+		},
+		"a later start replaces an earlier one": {
+			reports:  []Report{beat("a", 1, 400, Serving), beat("b", 2, 1, Serving), beat("a", 1, 401, Serving)},
+			verdicts: []Verdict{Taken, Taken, Stale},
+			id:       "b",
+			state:    Serving,
+		},
+		"a later start under the same id": {
+			reports:  []Report{beat("a", 1, 400, Serving), beat("a", 2, 1, Serving), beat("a", 1, 401, Draining)},
+			verdicts: []Verdict{Taken, Taken, Stale},
+			id:       "a",
+			state:    Serving,
+		},
+		"a late leave of an earlier start": {
+			reports:  []Report{beat("a", 2, 1, Serving), {ID: "a", State: Gone, Born: 1}},
+			verdicts: []Verdict{Taken, Stale},
+			id:       "a",
+			state:    Serving,
+		},
+		"a leave before the first heartbeat": {
+			reports:  []Report{{ID: "a", State: Gone, Born: 1}, beat("a", 1, 3, Serving)},
+			verdicts: []Verdict{Taken, Stale},
+			id:       "a",
+			state:    Gone,
+		},
+		"another service": {
+			reports:  []Report{{ID: "x", Service: "other", Address: address, Slots: 1, State: Serving, Sequence: 1}},
+			verdicts: []Verdict{Foreign},
+		},
+		"another address": {
+			reports:  []Report{{ID: "x", Service: service, Address: "10.0.0.9:80", Slots: 1, State: Serving, Sequence: 1}},
+			verdicts: []Verdict{Foreign},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker := Tracker{Service: service, Address: address}
+			for i, report := range test.reports {
+				assert.Equal(t, tracker.Observe(report), test.verdicts[i], "report %d", i)
+			}
+			assert.Equal(t, tracker.Current.ID, test.id)
+			assert.Equal(t, tracker.Current.State, test.state)
+		})
+	}
+}
