--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -80,6 +80,7 @@
 	maxWaitings = 8                     // waiting jobs per slot
 	minRetry    = 30 * time.Millisecond // least pause that a refused caller is told
 	ranks       = 16
+	leastUrgent = 2 // priority from which on a job may wait for freshShare only; more urgent ones for multiples
 )
 
 // Queue admits jobs up to the number of slots; others wait in order of their rank and
@@ -181,9 +182,12 @@
 	return wait
 }
 
-// FreshWait returns how long a job with a goal may be expected to wait to be let in.
-func FreshWait(goal time.Duration) time.Duration {
-	return time.Duration(freshShare * float64(goal))
+// FreshWait returns how long a job with a goal may be expected to wait to be let in. A more
+// urgent one may wait longer: it goes before others, so a burst of its own kind is all that
+// it waits for.
+func FreshWait(goal time.Duration, priority int) time.Duration {
+	steps := 1 + max(leastUrgent-priority, 0)
+	return time.Duration(freshShare * float64(steps) * float64(goal))
 }
 
 // worthwhile reports whether a job that waits so long is still likely to be of use, and
@@ -205,7 +209,7 @@
 	if job.Returned {
 		return wait <= time.Duration(returnShare*float64(job.Goal))
 	}
-	return wait <= FreshWait(job.Goal) && !end.After(job.Aim)
+	return wait <= FreshWait(job.Goal, job.Priority) && !end.After(job.Aim)
 }
 
 // Fill gives free slots to waiting jobs.
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -383,7 +383,7 @@
 // hopeful leaves out places that would turn the request away, and notes when the first of
 // them is likely to take it.
 func (p *pass) hopeful(places []place, candidates []balancer.Candidate) ([]place, []balancer.Candidate) {
-	longest := admitter.FreshWait(p.Route.Aim)
+	longest := admitter.FreshWait(p.Route.Aim, p.Route.Priority)
 	kept := 0
 	for i := range candidates {
 		if c := &candidates[i]; c.Hopeless(longest) {
--- /dev/null
+++ b/internal/proxy/runner/runner_test.go
@@ -0,0 +1,318 @@
+package runner
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"clementinerock/internal/node/counter"
+	"clementinerock/platform"
+	"clementinerock/platform/standin"
+)
+
+// host is one host of the scenario: a node and the target beside it.
+type host struct {
+	settings platform.Settings
+	service  string
+	arrived  atomic.Int64
+	slow     atomic.Int64 // milliseconds of work
+	stop     chan struct{}
+	done     chan struct{}
+	once     sync.Once
+	beats    chan struct{}
+	sequence atomic.Int64
+}
+
+// mesh is a small deployment on loopback.
+type mesh struct {
+	store *standin.Store
+	hosts []*host
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func startMesh(t *testing.T, services ...string) *mesh {
+	t.Helper()
+	m := &mesh{store: &standin.Store{}}
+	address, stop, err := m.store.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	m.configure(1, map[string]string{"/a/": "first", "/b/": "second"})
+	for i, service := range services {
+		h := &host{service: service, stop: make(chan struct{}), done: make(chan struct{}), beats: make(chan struct{})}
+		h.settings = platform.Settings{
+			Node:    fmt.Sprint("n", i),
+			Host:    "127.0.0.1",
+			Zone:    fmt.Sprint("z", i%2),
+			Service: service,
+			Calls:   freeAddress(t),
+			Ready:   freeAddress(t),
+			Control: freeAddress(t),
+			Peer:    freeAddress(t),
+			Metrics: freeAddress(t),
+			Store:   address,
+			Bounds: platform.Bounds{
+				Drain:       2 * time.Second,
+				Grace:       6 * time.Second,
+				RetryRatio:  0.2,
+				RetryWindow: 10 * time.Second,
+				RetrySlack:  20,
+			},
+		}
+		h.startTarget(t)
+		h.startNode(t)
+		m.hosts = append(m.hosts, h)
+	}
+	t.Cleanup(func() {
+		for _, h := range m.hosts {
+			h.end()
+		}
+		for _, h := range m.hosts {
+			<-h.done
+		}
+	})
+	return m
+}
+
+func (h *host) end() { h.once.Do(func() { close(h.stop) }) }
+
+func (h *host) startNode(t *testing.T) {
+	t.Helper()
+	meter, stopMeter := counter.New()
+	node := &Node{Settings: h.settings, Log: zap.NewNop(), Meter: meter, Dropped: func() int64 { return 0 }}
+	go func() {
+		defer close(h.done)
+		defer stopMeter()
+		assert.Check(t, node.Run(h.stop))
+	}()
+}
+
+// startTarget serves requests and sends heartbeats.
+func (h *host) startTarget(t *testing.T) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h.settings.Target = listener.Addr().String()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.arrived.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		time.Sleep(time.Duration(h.slow.Load()) * time.Millisecond)
+		id := r.Header.Get(platform.HeaderRequestID)
+		w.Header().Set(platform.HeaderRequestID, id)
+		w.Header().Set(platform.HeaderStamp, "stamp")
+		_, _ = fmt.Fprintf(w, "%s %s %s %s", h.service, r.Header.Get(platform.HeaderCaller), id, body)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	go func() {
+		for {
+			h.beat("ready")
+			select {
+			case <-h.beats:
+				return
+			case <-h.stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+	}()
+}
+
+// beat sends one heartbeat and reports whether it was acknowledged.
+func (h *host) beat(state string) bool {
+	body, _ := json.Marshal(map[string]any{
+		"service": h.service, "address": h.settings.Target, "zone": h.settings.Zone, "slots": 4,
+		"state": state, "sequence": h.sequence.Add(1), "born": 1000,
+	})
+	url := fmt.Sprintf("http://%s%s?call=instances.heartbeat&of=i-%s", h.settings.Control, platform.PathReports, h.settings.Node)
+	response, err := http.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// configure lets the operator write a version whose prefixes lead to services.
+func (m *mesh) configure(version int, prefixes map[string]string) {
+	var routes []map[string]any
+	for prefix, service := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": "r" + prefix, "host": "a.example", "prefix": prefix, "kind": "unsafe",
+			"timeoutS": 3, "targetLatencyS": 0.5, "service": service, "maxAttempts": 2,
+		})
+	}
+	text, _ := json.Marshal(map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{{"name": "first"}, {"name": "second"}},
+		"limits":   map[string]any{"maxHeaderBytes": 4096, "maxBodyBytes": 1 << 20, "headerTimeoutS": 1, "idleTimeoutS": 5},
+	})
+	m.store.Put(platform.KeyConfig, text)
+}
+
+var requestNumber atomic.Int64
+
+// ask sends a request to a host's node and returns the status and the body.
+func (h *host) ask(path, body string) (int, string, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.settings.Calls+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Host = "a.example"
+	request.Header.Set(platform.HeaderRequestID, fmt.Sprint("id-", requestNumber.Add(1)))
+	request.Header.Set(platform.HeaderTimeLeft, "2000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), err
+}
+
+// eventually waits until a request to a path gets a status.
+func (h *host) eventually(t *testing.T, path string, status int) {
+	t.Helper()
+	var last int
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		var err error
+		if last, _, err = h.ask(path, ""); err == nil && last == status {
+			return
+		}
+	}
+	t.Fatalf("%s at %s: status %d, not %d", path, h.settings.Node, last, status)
+}
+
+func (h *host) ready() int {
+	response, err := http.Get("http://" + h.settings.Ready + platform.PathReady)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func TestWholePath(t *testing.T) {
+	m := startMesh(t, "first", "first", "second")
+	for _, h := range m.hosts {
+		h.eventually(t, "/a/x", http.StatusOK)
+		h.eventually(t, "/b/x", http.StatusOK)
+		assert.Equal(t, h.ready(), http.StatusOK)
+	}
+	_, text, err := m.hosts[2].ask("/a/x", "body")
+	assert.NilError(t, err)
+	assert.Equal(t, text, fmt.Sprintf("first second id-%d body", requestNumber.Load()))
+	status, _, err := m.hosts[0].ask("/none/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusNotFound)
+
+	m.configure(2, map[string]string{"/a/": "second", "/c/": "first"})
+	for _, h := range m.hosts {
+		h.eventually(t, "/c/x", http.StatusOK)
+		status, _, err := h.ask("/b/x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusNotFound, "a dropped route")
+	}
+	m.configure(1, map[string]string{"/b/": "second"})
+	time.Sleep(200 * time.Millisecond)
+	for _, h := range m.hosts {
+		status, _, err := h.ask("/b/x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusNotFound, "an older version")
+	}
+}
+
+// TestDrain lets a target leave under load: no request fails, and it gets none after its
+// time.
+func TestDrain(t *testing.T) {
+	m := startMesh(t, "first", "first", "second")
+	leaver := m.hosts[0]
+	m.hosts[2].eventually(t, "/a/x", http.StatusOK)
+	for leaver.arrived.Load() == 0 {
+		leaver.eventually(t, "/a/x", http.StatusOK)
+	}
+	close(leaver.beats)
+	time.Sleep(150 * time.Millisecond)
+	assert.Assert(t, leaver.beat("draining"))
+	began := time.Now()
+	var atBound int64
+	for time.Since(began) < 2500*time.Millisecond {
+		status, _, err := m.hosts[2].ask("/a/x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		if time.Since(began) < 2*time.Second {
+			atBound = leaver.arrived.Load()
+		}
+	}
+	assert.Equal(t, leaver.arrived.Load(), atBound)
+}
+
+// TestPlannedStop stops a node under load: requests to it and to its target end whole.
+func TestPlannedStop(t *testing.T) {
+	m := startMesh(t, "first", "first", "second")
+	stopped := m.hosts[0]
+	for _, h := range m.hosts {
+		h.slow.Store(50)
+		h.eventually(t, "/a/x", http.StatusOK)
+	}
+	var failures atomic.Int64
+	var clients sync.WaitGroup
+	for range 4 {
+		clients.Go(func() {
+			for stopped.ready() != 0 {
+				status, _, err := stopped.ask("/a/x", "")
+				if err != nil && stopped.ready() != 0 {
+					failures.Add(1)
+				}
+				if err == nil && status != http.StatusOK && status != http.StatusServiceUnavailable {
+					failures.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopped.end()
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, stopped.ready(), http.StatusServiceUnavailable)
+	clients.Wait()
+	<-stopped.done
+	assert.Equal(t, failures.Load(), int64(0))
+	m.hosts[2].eventually(t, "/a/x", http.StatusOK)
+}
+
+// TestStoreAway goes on serving without the store and catches up when it is back.
+func TestStoreAway(t *testing.T) {
+	m := startMesh(t, "first", "second")
+	for _, h := range m.hosts {
+		h.eventually(t, "/a/x", http.StatusOK)
+	}
+	m.store.SetFaults(standin.Faults{Refuse: true})
+	m.store.Revoke(platform.PrefixNodes)
+	m.configure(2, map[string]string{"/c/": "first"})
+	for range 20 {
+		status, _, err := m.hosts[1].ask("/a/x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	m.store.Forget()
+	m.store.SetFaults(standin.Faults{})
+	for _, h := range m.hosts {
+		h.eventually(t, "/c/x", http.StatusOK)
+	}
+}
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"time"
@@ -16,8 +17,9 @@
 )
 
 const (
-	adminIdle   = 10 * time.Second
-	adminBuffer = 4 << 10 // bytes
+	adminIdle     = 10 * time.Second
+	adminBuffer   = 4 << 10 // bytes
+	shutdownLimit = 100 * time.Millisecond
 )
 
 // serveAt serves HTTP on an address. The clean-up function closes it.
@@ -38,7 +40,11 @@
 	go func() {
 		_ = server.Serve(listener) // ends when the listener is closed
 	}()
-	return func() { _ = listener.Close() }, nil
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
+		defer cancel()
+		_ = server.ShutdownWithContext(ctx) // connections that are left end with the process
+	}, nil
 }
 
 // serveReady answers the platform's question whether clients should be sent here.
