Don't take a late heartbeat for a new start after a leave without a time of birth

A node restarted; the first that it heard of its target was the leave, which bears no time of birth; a delayed heartbeat of the same start then looked newer. Ruled out: the second for which a leaving target still gets calls. Figures: the new case fails before and passes after.

--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -89,7 +89,7 @@
 	verdicts := make(chan tracker.Verdict, 1)
 	n.post(func() {
 		before := n.target.Current
-		verdict := n.target.Observe(report)
+		verdict := n.target.Observe(report, time.Now())
 		current := n.target.Current
 		if verdict == tracker.Taken {
 			n.deliverer.Update(current, time.Now())
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -61,6 +61,9 @@
 	return "foreign"
 }
 
+// clockSlack is by how much the times of day of a target and its node may differ.
+const clockSlack = 3 * time.Second
+
 // Tracker holds the newest report of the target at one address. It answers the pattern in
 // which heartbeats are delayed: one of an earlier start, or from before a drain, must not
 // bring a target back.
@@ -68,12 +71,14 @@
 	Service string
 	Address string
 	Current Report
+
+	left int64 // Unix milliseconds at which a leave came whose start is unknown
 }
 
-// Observe takes in a report.
-func (t *Tracker) Observe(report Report) Verdict {
+// Observe takes in a report. now is the time of day.
+func (t *Tracker) Observe(report Report, now time.Time) Verdict {
 	if report.State == Gone {
-		return t.observeLeave(report)
+		return t.observeLeave(report, now)
 	}
 	if report.Service != t.Service || report.Address != t.Address {
 		return Foreign
@@ -87,7 +92,7 @@
 
 // observeLeave takes in that a start of the target ends. A start of which nothing was
 // heard is remembered too, so that its delayed heartbeats count for nothing.
-func (t *Tracker) observeLeave(report Report) Verdict {
+func (t *Tracker) observeLeave(report Report, now time.Time) Verdict {
 	if t.Current.State != Unheard && !t.sameStart(report) && report.Born <= t.Current.Born {
 		return Stale
 	}
@@ -96,6 +101,7 @@
 		return Taken
 	}
 	t.Current = report
+	t.left = now.UnixMilli()
 	return Taken
 }
 
@@ -112,5 +118,9 @@
 		returns := current.State == Draining && report.State == Serving
 		return current.State != Gone && report.Sequence > current.Sequence && !returns
 	}
+	if current.State == Gone && current.Born == 0 && report.ID == current.ID {
+		// The leave did not say which start of this target ended: one from well before it.
+		return report.Born > t.left-clockSlack.Milliseconds()
+	}
 	return report.Born > current.Born
 }
--- a/internal/proxy/tracker/tracker_test.go
+++ b/internal/proxy/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -76,6 +77,18 @@
 			id:       "a",
 			state:    Gone,
 		},
+		"a late heartbeat after a leave that was heard first": {
+			reports:  []Report{{ID: "a", State: Gone}, beat("a", 50_000, 36, Serving)},
+			verdicts: []Verdict{Taken, Stale},
+			id:       "a",
+			state:    Gone,
+		},
+		"a new start after a leave that was heard first": {
+			reports:  []Report{{ID: "a", State: Gone}, beat("a", 99_000, 1, Serving)},
+			verdicts: []Verdict{Taken, Taken},
+			id:       "a",
+			state:    Serving,
+		},
 		"another service": {
 			reports:  []Report{{ID: "x", Service: "other", Address: address, Slots: 1, State: Serving, Sequence: 1}},
 			verdicts: []Verdict{Foreign},
@@ -89,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := Tracker{Service: service, Address: address}
 			for i, report := range test.reports {
-				assert.Equal(t, tracker.Observe(report), test.verdicts[i], "report %d", i)
+				assert.Equal(t, tracker.Observe(report, time.UnixMilli(100_000)), test.verdicts[i], "report %d", i)
 			}
 			assert.Equal(t, tracker.Current.ID, test.id)
 			assert.Equal(t, tracker.Current.State, test.state)
