Ping idle links beyond the failure domain less often, and share frame buffers

Change: the pause between pings of idle links grows with the number of links; buffers come from a pool; leases of 30 s renewed every 9 s.

--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -17,6 +17,8 @@
 	unackedLimit  = 1500 * time.Millisecond // a peer that acknowledges no byte for so long is taken for dead
 	firstBackoff  = 100 * time.Millisecond
 	longBackoff   = time.Second
+	idlePing      = time.Second // between pings of an idle link
+	linksPerPing  = 20          // links of a node that are pinged in idlePing on average
 	checkInterval = 200 * time.Millisecond
 	fetchPause    = 250 * time.Millisecond // in which a peer answers a request for its configuration
 )
@@ -134,6 +136,7 @@
 		if _, ok := peers[address]; !ok {
 			close(d.stopped)
 			delete(h.wanted, address)
+			h.drop(address)
 		}
 	}
 	for address, peer := range peers {
@@ -150,6 +153,15 @@
 	}
 }
 
+// drop closes the links to an address.
+func (h *Hub) drop(address string) {
+	for _, l := range h.links {
+		if l.Peer.Address == address {
+			go l.Close()
+		}
+	}
+}
+
 // dial keeps a link to a peer until it is no longer wanted.
 func (h *Hub) dial(address string, stopped <-chan struct{}) {
 	pause := firstBackoff
@@ -191,16 +203,7 @@
 	}
 	h.Meet(append(peers, l.Peer))
 	h.Log.Info("link: up", zap.String("node", l.Peer.Node), zap.String("address", l.Peer.Address))
-	ended := make(chan struct{})
-	go func() {
-		select {
-		case <-stopped:
-			l.Close()
-		case <-ended:
-		}
-	}()
 	err = l.run()
-	close(ended)
 	h.remove(l)
 	return err
 }
@@ -288,13 +291,24 @@
 		case <-stop:
 			return
 		case now := <-ticker.C:
-			for _, l := range h.Links() {
-				l.Check(now)
+			links := h.Links()
+			for _, l := range links {
+				l.Check(now, h.idle(l, len(links)))
 			}
 		}
 	}
 }
 
+// idle returns how long a link may be idle before it is pinged. Beyond the own failure
+// domain it grows with the number of links, so that the pings of all nodes grow no faster
+// than their number.
+func (h *Hub) idle(l *Link, links int) time.Duration {
+	if l.Peer.Zone == h.Self.Zone {
+		return idlePing
+	}
+	return max(idlePing, time.Duration(links)*idlePing/linksPerPing)
+}
+
 // newer asks a peer for its configuration, unless another one was asked a moment ago.
 func (h *Hub) newer(l *Link, version uint64) {
 	now := time.Now()
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -18,16 +18,18 @@
 const (
 	frameHeader   = 5        // bytes: length of the body, and the kind
 	maxFrame      = 96 << 20 // bytes; a body of the largest size that clients may send fits
-	readBuffer    = 4 << 10  // bytes
+	readBuffer    = 2 << 10  // bytes
 	writeTimeout  = time.Second
 	helloTimeout  = time.Second
 	quietLimit    = 400 * time.Millisecond  // of silence with open calls before a ping
 	pingTimeout   = 1000 * time.Millisecond // in which a ping is answered
-	idlePing      = time.Second             // between pings of an idle link
 	voidTimeout   = 500 * time.Millisecond
 	answerBacklog = 1
 )
 
+// buffers holds buffers for frames; links share them.
+var buffers = sync.Pool{New: func() any { return new([]byte) }}
+
 // errClosed says that a link is gone.
 var errClosed = merry.Sentinel("link closed")
 
@@ -59,7 +61,6 @@
 	done   chan struct{}
 
 	writing sync.Mutex
-	buffer  []byte
 
 	mu      sync.Mutex
 	next    uint64
@@ -135,18 +136,17 @@
 	if err != nil {
 		return merry.Prepend(err, "encode frame")
 	}
+	frame := buffers.Get().(*[]byte)
+	defer buffers.Put(frame)
+	*frame = binary.BigEndian.AppendUint32((*frame)[:0], uint32(len(text)))
+	*frame = append(*frame, byte(frameKind))
+	*frame = append(*frame, text...)
 	l.writing.Lock()
 	defer l.writing.Unlock()
-	l.buffer = binary.BigEndian.AppendUint32(l.buffer[:0], uint32(len(text)))
-	l.buffer = append(l.buffer, byte(frameKind))
-	l.buffer = append(l.buffer, text...)
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err = l.conn.Write(l.buffer)
-	if cap(l.buffer) > 8*readBuffer {
-		l.buffer = nil
-	}
+	_, err = l.conn.Write(*frame)
 	return err
 }
 
@@ -404,9 +404,9 @@
 // Tell sends the present state.
 func (l *Link) Tell() { l.reply(kindState, &stateFrame{State: l.server.State()}) }
 
-// Check closes a link whose peer does not answer a ping, and sends one if it was quiet
-// for long.
-func (l *Link) Check(now time.Time) {
+// Check closes a link whose peer does not answer a ping, and sends one if it was idle for
+// long, or quiet while calls wait.
+func (l *Link) Check(now time.Time, idle time.Duration) {
 	if asked := l.asked.Load(); asked != 0 {
 		if now.UnixNano()-asked > int64(pingTimeout) && l.heard.Load() < asked {
 			l.Close()
@@ -415,7 +415,7 @@
 		}
 		return
 	}
-	limit := idlePing
+	limit := idle
 	if l.open.Load() > 0 {
 		limit = quietLimit
 	}
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	leaseTime    = 10 * time.Second
-	keepInterval = 3 * time.Second
+	leaseTime    = 30 * time.Second
+	keepInterval = 9 * time.Second
 	listFirst    = 300 * time.Millisecond // between two readings of all entries after the start; doubles
 	listInterval = 25 * time.Second       // between two readings of all entries
 	watchWait    = 3 * time.Second        // of one watch; other readers cover one that fell silent
