Use free targets of other failure domains before waiting near by

Change: free near, then free elsewhere, then by score; after two attempts in vain free ones elsewhere go first.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 const (
 	maxHops       = 5                      // nodes that are asked before a request is turned away
 	eagerHops     = 3                      // of them, that are asked for a free slot only
+	widerAfter    = 2                      // attempts after which other failure domains go first
 	silence       = 250 * time.Millisecond // beyond the time limit until a silent node is given up
 	defaultRetry  = 100 * time.Millisecond // pause that a client is told when nobody knows better
 	maxRetry      = 2 * time.Second
@@ -372,7 +373,7 @@
 	if !p.nested {
 		places, candidates = p.hopeful(places, candidates)
 	}
-	best := balancer.Pick(candidates, rand.Float64)
+	best := balancer.Pick(candidates, p.attempt >= widerAfter, rand.Float64)
 	if best < 0 {
 		return place{}, false
 	}
