--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -27,7 +27,6 @@
 	farShare      = 1.2                    // of a mean time in a slot that a call to another failure domain must gain
 	coldFactor    = 2.0                    // by which a cold target is slower
 	failurePrice  = 3.0                    // mean times in a slot that a failed call costs
-	failingShare  = 0.2                    // of its calls that a target fails, from which on it gets none for being free
 	occupiedShare = 0.3                    // of a mean time in a slot by which a full target ranks behind an empty one
 	jitter        = 0.15                   // of the score, so that nodes with the same reports differ
 )
