--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -94,48 +94,18 @@
 // KnownFull reports whether the candidate has just said that it has no free slot.
 func (c *Candidate) KnownFull() bool { return c.Wait > 0 && c.Age < freshReport }
 
-// Free reports whether the candidate is likely to have a free slot.
-func (c *Candidate) Free() bool { return c.Expected() == 0 }
-
-// Pick returns the index of the candidate that a call should go to, or -1 if there is none.
-// A free target of the own failure domain goes first, then a free one elsewhere, then the
-// one with the lowest score. wider says that targets near by have been asked in vain, so a
-// free one elsewhere goes first.
-//
-// It answers the load pattern in which one failure domain is over its capacity while
-// others have room.
-func Pick(candidates []Candidate, wider bool, draw func() float64) int {
+// Pick returns the index of the candidate with the lowest score, or -1 if there is none.
+func Pick(candidates []Candidate, draw func() float64) int {
 	var total time.Duration
 	for i := range candidates {
 		total += max(candidates[i].Mean, time.Millisecond)
 	}
-	best, bestTier, bestScore := -1, 0, 0.0
+	best, bestScore := -1, math.Inf(1)
 	for i := range candidates {
-		c := &candidates[i]
-		tier := c.tier(wider)
-		score := Score(c, total/time.Duration(len(candidates)), draw())
-		if best < 0 || tier < bestTier || (tier == bestTier && score < bestScore) {
-			best, bestTier, bestScore = i, tier, score
+		score := Score(&candidates[i], total/time.Duration(len(candidates)), draw())
+		if score < bestScore {
+			best, bestScore = i, score
 		}
 	}
 	return best
 }
-
-// Tiers of candidates; a lower one goes first.
-const (
-	tierNearFree = iota
-	tierFarFree
-	tierFull
-)
-
-func (c *Candidate) tier(wider bool) int {
-	switch {
-	case c.Failing > failingShare:
-		return tierFull
-	case !c.Free():
-		return tierFull
-	case c.Near == wider:
-		return tierFarFree
-	}
-	return tierNearFree
-}
