--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -17,7 +17,6 @@
 	Refuse   func(wait time.Duration) // called if a waiting job is turned away
 
 	Goal time.Duration // latency within which the route's answers earn full credit
-	Last bool          // nobody else will be asked
 
 	rank     int
 	state    jobState
@@ -75,7 +74,6 @@
 	lateShare   = 0.35                  // of a mean time in a slot that a job may wait for which the aim is lost anyway
 	freshShare  = 0.15                  // of its goal that a job may wait
 	returnShare = 0.2                   // of its goal that a job may wait that was turned away before
-	nestedShare = 0.3                   // of its goal that a nested job may wait while others can be asked
 	errorWeight = 0.05                  // of a new sample in the ratio of actual to expected waits
 	leastError  = 0.5
 	mostError   = 6.0
@@ -200,7 +198,7 @@
 		return false
 	}
 	if job.Nested {
-		return job.Last || wait <= time.Duration(nestedShare*float64(job.Goal))
+		return true
 	}
 	if q.waiting >= maxWaitings*q.Slots {
 		return false
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -44,7 +44,6 @@
 	Nested     bool          // made by a target while it runs another request
 	Returned   bool          // its client was turned away before
 	Eager      bool          // to be refused unless a slot is free
-	Last       bool          // nobody else will be asked
 	Idempotent bool          // may run more than once
 	Left       time.Duration // until nobody waits for the answer any more
 	Aim        time.Duration // until an answer is late; may be negative
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -189,7 +189,6 @@
 	v.Deadline = now.Add(call.Left - leastLeft)
 	v.Aim = now.Add(call.Aim)
 	v.Goal = call.Goal
-	v.Last = call.Last
 	v.Arrived = now
 	v.Start = func() { go d.run(v) }
 	v.Refuse = func(wait time.Duration) { go d.refuse(v, "turned away", wait, false) }
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -20,7 +20,6 @@
 const (
 	maxHops       = 5                      // nodes that are asked before a request is turned away
 	eagerHops     = 3                      // of them, that are asked for a free slot only
-	nestedHops    = 7                      // that are asked for a call of a running request, whose slot is held meanwhile
 	silence       = 250 * time.Millisecond // beyond the time limit until a silent node is given up
 	defaultRetry  = 100 * time.Millisecond // pause that a client is told when nobody knows better
 	maxRetry      = 2 * time.Second
@@ -180,7 +179,7 @@
 	}
 	p.aim = request.Arrived.Add(aim - clientTravel)
 	f.count(p.service, request.Arrived)
-	for range p.hops() {
+	for range maxHops {
 		result, done := f.try(p)
 		if done {
 			f.note(p, result)
@@ -192,14 +191,6 @@
 	return result
 }
 
-// hops returns how many nodes may be asked.
-func (p *pass) hops() int {
-	if p.nested {
-		return nestedHops
-	}
-	return maxHops
-}
-
 // try makes one attempt. It reports false if another one may follow.
 func (f *Forwarder) try(p *pass) (Result, bool) {
 	now := time.Now()
@@ -221,7 +212,6 @@
 	p.attempt++
 	call := p.call(now, f.Service)
 	call.Eager = !to.full && p.attempt <= eagerHops
-	call.Last = int(p.attempt) >= p.hops()
 	answer := f.exchange(p, to, call, left)
 	if answer == nil {
 		return Result{Verdict: Left}, true
