Share the allowance of repeats by the most nodes known

Cause: read again: a node that starts or is cut off took itself for the only one and its whole allowance of repeats for its own; after a herd restart all would. Change: the share goes by the most nodes known at once, ten at least, and is worked out at each use; tests without parameters that never vary. Figures: the new test fails before (the slack was fixed at the first use) and passes after.

--- a/internal/proxy/admitter/admitter_test.go
+++ b/internal/proxy/admitter/admitter_test.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	goal  = 200 * time.Millisecond
-	limit = 1200 * time.Millisecond
+	slots  = 6
+	length = 20 * time.Second // of a replayed load
+	mean   = 60 * time.Millisecond
+	goal   = 200 * time.Millisecond
+	limit  = 1200 * time.Millisecond
 )
 
 // end is the end of a job's work.
@@ -44,7 +47,7 @@
 }
 
 // replay offers jobs at their times to a queue and returns the queue.
-func replay(t *testing.T, slots int, work func() time.Duration, jobs []*load) *Queue {
+func replay(t *testing.T, work func() time.Duration, jobs []*load) *Queue {
 	t.Helper()
 	start := time.Unix(1000, 0)
 	var now time.Duration
@@ -83,16 +86,16 @@
 }
 
 // arrivals returns jobs at a rate that follows a wave.
-func arrivals(random *rand.Rand, perSecond float64, seconds int, class func() Class) []*load {
+func arrivals(random *rand.Rand, perSecond float64, class func() Class) []*load {
 	var jobs []*load
-	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; {
+	for now := time.Duration(0); now < length; {
 		now += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
 		jobs = append(jobs, &load{arrives: now, Job: Job{Class: class()}})
 	}
 	return jobs
 }
 
-func worker(random *rand.Rand, mean time.Duration) func() time.Duration {
+func worker(random *rand.Rand) func() time.Duration {
 	return func() time.Duration {
 		return time.Duration((0.5 + random.Float64()) * float64(mean))
 	}
@@ -102,8 +105,8 @@
 // what is served is in time, and who is turned away is told at once.
 func TestCrest(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
-	jobs := arrivals(random, 1.6*100, 20, func() Class { return Class{Priority: 1} })
-	replay(t, 6, worker(random, 60*time.Millisecond), jobs)
+	jobs := arrivals(random, 1.6*100, func() Class { return Class{Priority: 1} })
+	replay(t, worker(random), jobs)
 	served, timely, late := 0, 0, 0
 	for _, j := range jobs {
 		if j.served {
@@ -125,8 +128,8 @@
 // and they hardly wait.
 func TestNested(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
-	jobs := arrivals(random, 2*100, 20, func() Class { return Class{Priority: 2, Nested: random.Float64() < 0.3} })
-	replay(t, 6, worker(random, 60*time.Millisecond), jobs)
+	jobs := arrivals(random, 2*100, func() Class { return Class{Priority: 2, Nested: random.Float64() < 0.3} })
+	replay(t, worker(random), jobs)
 	var waited time.Duration
 	nested := 0
 	for _, j := range jobs {
@@ -143,8 +146,8 @@
 // takes 60% of the capacity: it is served nearly whole, and never less than the other.
 func TestPriorities(t *testing.T) {
 	random := rand.New(rand.NewPCG(5, 6))
-	jobs := arrivals(random, 1.8*100, 20, func() Class { return Class{Priority: min(random.IntN(3), 1)} })
-	replay(t, 6, worker(random, 60*time.Millisecond), jobs)
+	jobs := arrivals(random, 1.8*100, func() Class { return Class{Priority: min(random.IntN(3), 1)} })
+	replay(t, worker(random), jobs)
 	var asked, served [2]int
 	for _, j := range jobs {
 		asked[j.Priority]++
@@ -160,8 +163,8 @@
 // requests are not made late by them.
 func TestReturning(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 8))
-	jobs := arrivals(random, 1.6*100, 20, func() Class { return Class{Priority: 1, Returned: random.Float64() < 0.6} })
-	replay(t, 6, worker(random, 60*time.Millisecond), jobs)
+	jobs := arrivals(random, 1.6*100, func() Class { return Class{Priority: 1, Returned: random.Float64() < 0.6} })
+	replay(t, worker(random), jobs)
 	fresh, timely := 0, 0
 	for _, j := range jobs {
 		if !j.Returned {
@@ -177,8 +180,8 @@
 // TestCalm replays half of the capacity: hardly anyone is turned away.
 func TestCalm(t *testing.T) {
 	random := rand.New(rand.NewPCG(9, 10))
-	jobs := arrivals(random, 0.5*100, 20, func() Class { return Class{Priority: 1} })
-	replay(t, 6, worker(random, 60*time.Millisecond), jobs)
+	jobs := arrivals(random, 0.5*100, func() Class { return Class{Priority: 1} })
+	replay(t, worker(random), jobs)
 	denied := 0
 	for _, j := range jobs {
 		if j.denied {
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -90,23 +90,25 @@
 	Zone    string
 	Local   Local
 	Hub     *carrier.Hub
-	Budget  func() budgeter.Budget // returns a new service's allowance of repeats
+	Budget  func() budgeter.Budget // returns this node's allowance of repeats
 
 	mu      sync.Mutex
 	budgets map[string]*budgeter.Budget
 	longest map[string]time.Duration // time left that a client had, by route
 }
 
+// budget returns a service's budget with the allowance that this node has now.
 func (f *Forwarder) budget(service string) *budgeter.Budget {
+	allowance := f.Budget()
 	b, ok := f.budgets[service]
 	if !ok {
 		if f.budgets == nil {
 			f.budgets = make(map[string]*budgeter.Budget)
 		}
-		fresh := f.Budget()
-		b = &fresh
+		b = &allowance
 		f.budgets[service] = b
 	}
+	b.Slack = allowance.Slack
 	return b
 }
 
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// TestAllowanceFollowsTheFleet spends as a lone node until others are known: what it may
+// spend then is its share.
+func TestAllowanceFollowsTheFleet(t *testing.T) {
+	nodes := 1.0
+	f := newForwarder(&scripted{})
+	f.Budget = func() budgeter.Budget {
+		return budgeter.Budget{Ratio: 0.2, Slack: 50 / nodes, Window: 10 * time.Second}
+	}
+	now := time.Unix(1000, 0)
+	assert.Assert(t, f.mayRepeat("s", now))
+	nodes = 50
+	assert.Assert(t, !f.mayRepeat("s", now))
+}
+
 func TestClientLeaves(t *testing.T) {
 	gone := make(chan struct{})
 	request := newRequest("r", true)
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -32,6 +32,7 @@
 	stopMargin    = 500 * time.Millisecond  // before SIGKILL, to end what is left
 	longestLinger = time.Second             // for which a target that leaves still gets calls
 	eventsBacklog = 256
+	leastNodes    = 10 // among which the allowance of repeats is shared at least
 )
 
 // known is what the node knows of another one.
@@ -51,6 +52,7 @@
 	table     atomic.Pointer[matcher.Table]
 	history   atomic.Pointer[[]*matcher.Table] // newest first
 	stopping  atomic.Bool
+	most      atomic.Int64 // nodes known at once, this one included
 	started   time.Time
 	events    chan func()
 	peers     map[string]*known // by address
@@ -138,13 +140,14 @@
 	n.finder = &finder.Finder{Log: n.Log, Store: store, Self: n.self, Sink: n, Hub: n.hub}
 }
 
-// budget returns this node's share of a service's allowance of repeats.
+// budget returns this node's share of a service's allowance of repeats. The share goes by
+// the most nodes that were ever known, so that one that is cut off or has just started does
+// not take itself for the only one.
 func (n *Node) budget() budgeter.Budget {
 	b := n.Settings.Bounds
-	nodes := len(n.hub.Links()) + 1
 	return budgeter.Budget{
 		Ratio:  b.RetryRatio,
-		Slack:  b.RetrySlack / float64(nodes),
+		Slack:  b.RetrySlack / float64(max(n.most.Load(), leastNodes)),
 		Window: b.RetryWindow,
 	}
 }
@@ -210,6 +213,7 @@
 		k.Peer = peer
 	}
 	k.seen = time.Now()
+	n.most.Store(max(n.most.Load(), int64(len(n.peers)+1)))
 }
 
 // forget drops nodes that no link could be made to for a while.
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -199,17 +199,17 @@
 	ran bool // the request reached a target
 }
 
-// eventually waits until a request to a path gets a status.
-func (h *host) eventually(t *testing.T, path string, status int) {
+// eventually waits until a request to a path is answered.
+func (h *host) eventually(t *testing.T, path string) {
 	t.Helper()
 	var last int
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		var err error
-		if last, _, err = h.ask(path, ""); err == nil && last == status {
+		if last, _, err = h.ask(path, ""); err == nil && last == http.StatusOK {
 			return
 		}
 	}
-	t.Fatalf("%s at %s: status %d, not %d", path, h.settings.Node, last, status)
+	t.Fatalf("%s at %s: status %d", path, h.settings.Node, last)
 }
 
 func (h *host) ready() int {
@@ -224,8 +224,8 @@
 func TestWholePath(t *testing.T) {
 	m := startMesh(t, "first", "first", "second")
 	for _, h := range m.hosts {
-		h.eventually(t, "/a/x", http.StatusOK)
-		h.eventually(t, "/b/x", http.StatusOK)
+		h.eventually(t, "/a/x")
+		h.eventually(t, "/b/x")
 		assert.Equal(t, h.ready(), http.StatusOK)
 	}
 	_, text, err := m.hosts[2].ask("/a/x", "body")
@@ -237,7 +237,7 @@
 
 	m.configure(2, map[string]string{"/a/": "second", "/c/": "first"})
 	for _, h := range m.hosts {
-		h.eventually(t, "/c/x", http.StatusOK)
+		h.eventually(t, "/c/x")
 		status, _, err := h.ask("/b/x", "")
 		assert.NilError(t, err)
 		assert.Equal(t, status, http.StatusNotFound, "a dropped route")
@@ -256,9 +256,9 @@
 func TestDrain(t *testing.T) {
 	m := startMesh(t, "first", "first", "second")
 	leaver := m.hosts[0]
-	m.hosts[2].eventually(t, "/a/x", http.StatusOK)
+	m.hosts[2].eventually(t, "/a/x")
 	for leaver.arrived.Load() == 0 {
-		leaver.eventually(t, "/a/x", http.StatusOK)
+		leaver.eventually(t, "/a/x")
 	}
 	close(leaver.beats)
 	time.Sleep(150 * time.Millisecond)
@@ -282,7 +282,7 @@
 	stopped := m.hosts[0]
 	for _, h := range m.hosts {
 		h.slow.Store(50)
-		h.eventually(t, "/a/x", http.StatusOK)
+		h.eventually(t, "/a/x")
 	}
 	var failures atomic.Int64
 	var clients sync.WaitGroup
@@ -309,14 +309,14 @@
 	clients.Wait()
 	<-stopped.done
 	assert.Equal(t, failures.Load(), int64(0))
-	m.hosts[2].eventually(t, "/a/x", http.StatusOK)
+	m.hosts[2].eventually(t, "/a/x")
 }
 
 // TestStoreAway goes on serving without the store and catches up when it is back.
 func TestStoreAway(t *testing.T) {
 	m := startMesh(t, "first", "second")
 	for _, h := range m.hosts {
-		h.eventually(t, "/a/x", http.StatusOK)
+		h.eventually(t, "/a/x")
 	}
 	m.store.SetFaults(standin.Faults{Refuse: true})
 	m.store.Revoke(platform.PrefixNodes)
@@ -329,6 +329,6 @@
 	m.store.Forget()
 	m.store.SetFaults(standin.Faults{})
 	for _, h := range m.hosts {
-		h.eventually(t, "/c/x", http.StatusOK)
+		h.eventually(t, "/c/x")
 	}
 }
