Log every request's outcome, bounded, and what had no route

Cause: a request answered at the first attempt, or refused with 404, left no line from which an engineer could tell what decided it.

--- a/internal/node/recorder/recorder.go
+++ b/internal/node/recorder/recorder.go
@@ -15,7 +15,7 @@
 	backlog      = 512      // lines that wait to be written; more are dropped and counted
 	batchBytes   = 32 << 10 // written at once
 	sampleTick   = time.Second
-	sampleFirst  = 40  // lines with the same message in a tick that are all written
+	sampleFirst  = 30  // lines with the same message in a tick that are all written
 	sampleThen   = 100 // of further ones, one in this many is written
 	flushTimeout = 200 * time.Millisecond
 )
--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -294,17 +294,24 @@
 // handle forwards a request and returns what to tell the client, or nil if it left.
 func (a *Acceptor) handle(in *fasthttp.Request, arrived time.Time, gone <-chan struct{}) *fasthttp.Response {
 	table := a.Table()
+	id := in.Header.Peek(platform.HeaderRequestID)
+	uri := in.Header.RequestURI()
 	if table == nil || a.refusing.Load() {
+		a.Log.Info("client: turned away, node not ready or stopping", zap.ByteString("id", id))
 		return refusal(noConfigRetry)
 	}
-	uri := in.Header.RequestURI()
 	path, _, _ := bytes.Cut(uri, []byte("?"))
 	route := table.Match(string(in.Header.Host()), string(path))
 	if route == nil {
+		a.Log.Info("client: no route",
+			zap.ByteString("id", id),
+			zap.ByteString("host", in.Header.Host()),
+			zap.ByteString("path", path),
+			zap.Uint64("version", table.Version))
 		return status(fasthttp.StatusNotFound)
 	}
-	id := in.Header.Peek(platform.HeaderRequestID)
 	if len(id) == 0 {
+		a.Log.Info("client: request without an id", zap.String("route", route.Name))
 		return status(fasthttp.StatusBadRequest)
 	}
 	left, ok := platform.TimeLeft(in.Header.Peek(platform.HeaderTimeLeft))
--- a/internal/proxy/admitter/admitter_test.go
+++ b/internal/proxy/admitter/admitter_test.go
@@ -46,8 +46,8 @@
 	denied  bool
 }
 
-// replay offers jobs at their times to a queue and returns the queue.
-func replay(t *testing.T, work func() time.Duration, jobs []*load) *Queue {
+// replay offers jobs at their times to a queue.
+func replay(t *testing.T, work func() time.Duration, jobs []*load) {
 	t.Helper()
 	start := time.Unix(1000, 0)
 	var now time.Duration
@@ -82,7 +82,6 @@
 		assert.Assert(t, q.InUse <= slots, "more jobs than slots")
 	}
 	finish(time.Hour)
-	return q
 }
 
 // arrivals returns jobs at a rate that follows a wave.
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 
 const (
 	maxHops       = 5                      // nodes that are asked before a request is turned away
+	longestReason = 100                    // bytes in a log line; a reason may hold what a target sent
 	eagerHops     = 3                      // of them, that are asked for a free slot only
 	silence       = 250 * time.Millisecond // beyond the time limit until a silent node is given up
 	defaultRetry  = 100 * time.Millisecond // pause that a client is told when nobody knows better
@@ -156,6 +157,7 @@
 	aim      time.Time
 	nested   bool
 	returned bool
+	node     string   // last one that was asked
 	asked    []string // nodes that refused or failed
 	arrivals int      // at targets
 	attempt  uint64
@@ -212,6 +214,7 @@
 		return p.giveUp(), true
 	}
 	p.attempt++
+	p.node = to.node
 	call := p.call(now, f.Service)
 	call.Eager = !to.full && p.attempt <= eagerHops
 	answer := f.exchange(p, to, call, left)
@@ -230,7 +233,7 @@
 		answer.Outcome = carrier.Refused
 	}
 	if answer.Outcome != carrier.Answered {
-		p.reason = to.node + ": " + answer.Reason
+		p.reason = to.node + ": " + answer.Reason[:min(len(answer.Reason), longestReason)]
 	}
 	switch answer.Outcome {
 	case carrier.Answered:
@@ -269,18 +272,18 @@
 	return Result{Verdict: Refused, Retry: min(retry, maxRetry)}
 }
 
-// note logs a request that was not simply answered.
+// note logs what became of a request and why.
 func (f *Forwarder) note(p *pass, result Result) {
 	f.Meter.Add("request_"+result.Verdict.String(), 1)
 	f.Meter.Observe("request", time.Since(p.Arrived))
-	if result.Verdict == Answered && p.attempt == 1 {
-		return
-	}
 	f.Log.Info("forward: "+result.Verdict.String(),
 		zap.ByteString("id", p.ID),
 		zap.String("route", p.Route.Name),
 		zap.Uint64("version", p.Version),
 		zap.String("service", p.service),
+		zap.String("node", p.node),
+		zap.Bool("nested", p.nested),
+		zap.Bool("returned", p.returned),
 		zap.Uint64("attempts", p.attempt),
 		zap.Int("arrivals", p.arrivals),
 		zap.String("reason", p.reason),
