--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -19,7 +19,6 @@
 
 	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/carrier"
-	"clementinerock/internal/proxy/deliverer"
 	"clementinerock/internal/proxy/forwarder"
 	"clementinerock/internal/proxy/matcher"
 	"clementinerock/platform"
@@ -327,7 +326,7 @@
 		Method:  in.Header.Method(),
 		URI:     uri,
 		Host:    in.Header.Host(),
-		Headers: endToEnd(&in.Header),
+		Headers: carrier.CopyHeaders(in.Header.All(), dropped),
 		Body:    in.Body(),
 		Gone:    gone,
 	})
@@ -391,21 +390,6 @@
 	return out.Flush() == nil
 }
 
-// endToEnd copies the headers that a target gets as the client sent them.
-func endToEnd(header *fasthttp.RequestHeader) []carrier.Header {
-	var headers []carrier.Header
-	for name, value := range header.All() {
-		if dropped(string(name)) {
-			continue
-		}
-		headers = append(headers, carrier.Header{
-			Name:  append([]byte(nil), name...),
-			Value: append([]byte(nil), value...),
-		})
-	}
-	return headers
-}
-
 // dropped reports whether a header of a client is not passed on as it is.
 func dropped(name string) bool {
 	switch name {
@@ -413,5 +397,5 @@
 		platform.HeaderCaller, platform.HeaderInstance:
 		return true
 	}
-	return deliverer.HopByHop(name) || strings.EqualFold(name, "Proxy-Authorization")
+	return carrier.HopByHop(name) || strings.EqualFold(name, "Proxy-Authorization")
 }
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -27,13 +27,6 @@
 	kindVoided
 )
 
-// Header is one header line.
-type Header struct {
-	_     struct{} `cbor:",toarray"`
-	Name  []byte
-	Value []byte
-}
-
 // Call is a request on its way to a target.
 type Call struct {
 	_          struct{} `cbor:",toarray"`
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -29,7 +29,7 @@
 	stayFor       = 2300 * time.Millisecond // after SIGTERM, until the platform has asked twice for readiness
 	takeFor       = 3 * time.Second         // after SIGTERM, for which new requests are still served
 	quietFor      = 400 * time.Millisecond  // without a request before the process ends
-	stopMargin    = 500 * time.Millisecond  // before SIGKILL, to end what is left
+	stopMargin    = 900 * time.Millisecond  // before SIGKILL, to leave the store and close what is left
 	longestLinger = time.Second             // for which a target that leaves still gets calls
 	eventsBacklog = 256
 	leastNodes    = 10 // among which the allowance of repeats is shared at least
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -18,8 +18,8 @@
 
 const (
 	adminIdle     = 10 * time.Second
-	adminBuffer   = 4 << 10 // bytes
-	shutdownLimit = 100 * time.Millisecond
+	adminBuffer   = 4 << 10               // bytes
+	shutdownLimit = 20 * time.Millisecond // for connections that are idle when the process ends
 )
 
 // serveAt serves HTTP on an address. The clean-up function closes it.
