--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -75,19 +75,19 @@
 	freshShare  = 0.15                  // of its goal that a job may wait
 	returnShare = 0.2                   // of its goal that a job may wait that was turned away before
 	errorWeight = 0.05                  // of a new sample in the ratio of actual to expected waits
-	leastError  = 0.5
+	leastError  = 0.5                   // bounds of a sample of that ratio
 	mostError   = 6.0
 	maxWaitings = 8                     // waiting jobs per slot
 	minRetry    = 30 * time.Millisecond // least pause that a refused caller is told
-	ranks       = 16
-	leastUrgent = 2 // priority from which on a job may wait for freshShare only; more urgent ones for multiples
+	ranks       = 16                    // classes that are kept apart
+	leastUrgent = 2                     // priority from which on a job may wait for freshShare only; more urgent ones for multiples
 )
 
 // Queue admits jobs up to the number of slots; others wait in order of their rank and
 // arrival if they are likely to be served in time. It answers the load pattern of a
 // crest: more arrives than the slots can do. A line that is bounded by the aim keeps all
 // slots busy and serves who is let in within the aim; who would come too late is told at
-// once when to return. The zero value refuses everything until Resize.
+// once when to return. The zero value has no slots and refuses everything.
 type Queue struct {
 	Slots int
 	InUse int
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -23,11 +23,11 @@
 	eagerHops     = 3                      // of them, that are asked for a free slot only
 	silence       = 250 * time.Millisecond // beyond the time limit until a silent node is given up
 	defaultRetry  = 100 * time.Millisecond // pause that a client is told when nobody knows better
-	maxRetry      = 2 * time.Second
-	leastRetry    = 20 * time.Millisecond // left for another try to be worth it
-	clientTravel  = 15 * time.Millisecond // of a request and its answer between client and node
-	leastPatience = 0.84                  // of the longest time limit of a route's clients, that all of them have at first
-	returnedAim   = 0.6                   // of a route's aim, from its return, for which a returning client may wait
+	maxRetry      = 2 * time.Second        // longest pause that a client is told
+	leastRetry    = 20 * time.Millisecond  // left for another try to be worth it
+	clientTravel  = 15 * time.Millisecond  // of a request and its answer between client and node
+	leastPatience = 0.84                   // of the longest time limit of a route's clients, that all of them have at first
+	returnedAim   = 0.6                    // of a route's aim, from its return, for which a returning client may wait
 )
 
 // Request is one request of a client, whole.
