Share unchanged routes, hashes and indexes between versions

Cause: each version cost every node a hash and an index entry of every route, twice when it came from the store, and a reader computed the same update anew for each node that asked. Ruled out: the decoding of the update, which holds only the changed routes.

--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -16,9 +16,12 @@
 	Services map[string]Service
 	Limits   Limits
 
-	hosts map[string]map[string]*Route // by host and prefix
+	hosts map[string]prefixes
 }
 
+// prefixes holds a host's routes by path prefix.
+type prefixes map[string]*Route
+
 // Route says what happens to the requests of one host under one path prefix.
 type Route struct {
 	_ struct{} `cbor:",toarray"`
@@ -32,6 +35,8 @@
 	Priority    int           // 0 goes first
 	MaxAttempts int           // targets that one request may reach
 	Parts       []Part        // more than one for a split
+
+	hash uint64 // of the content; 0 until it is computed
 }
 
 // Part is a service's share of a route's requests.
@@ -63,26 +68,43 @@
 
 // Index checks the table whole and prepares it for Match.
 func (t *Table) Index() error {
-	t.hosts = make(map[string]map[string]*Route)
+	t.hosts = make(map[string]prefixes)
 	for _, route := range t.Routes {
 		if err := t.check(route); err != nil {
-			return merry.Prependf(err, "version %d, route %q", t.Version, route.Name)
+			return err
 		}
-		prefixes := t.hosts[route.Host]
-		if prefixes == nil {
-			prefixes = make(map[string]*Route)
-			t.hosts[route.Host] = prefixes
+		routes := t.hosts[route.Host]
+		if routes == nil {
+			routes = make(prefixes)
+			t.hosts[route.Host] = routes
 		}
-		if other := prefixes[route.Prefix]; other != nil {
-			return merry.Errorf("version %d: routes %q and %q claim %s%s",
-				t.Version, other.Name, route.Name, route.Host, route.Prefix)
+		if err := t.place(routes, route); err != nil {
+			return err
 		}
-		prefixes[route.Prefix] = route
 	}
 	return nil
 }
 
+// place adds a route to those of its host.
+func (t *Table) place(routes prefixes, route *Route) error {
+	if other := routes[route.Prefix]; other != nil {
+		return merry.Errorf("version %d: routes %q and %q claim %s%s",
+			t.Version, other.Name, route.Name, route.Host, route.Prefix)
+	}
+	routes[route.Prefix] = route
+	return nil
+}
+
+// check checks one route and computes its hash.
 func (t *Table) check(route *Route) error {
+	route.seal()
+	if err := t.fault(route); err != nil {
+		return merry.Prependf(err, "version %d, route %q", t.Version, route.Name)
+	}
+	return nil
+}
+
+func (t *Table) fault(route *Route) error {
 	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
 		return merry.Errorf("prefix %q", route.Prefix)
 	}
@@ -113,13 +135,13 @@
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
 		host = host[:colon]
 	}
-	prefixes := t.hosts[strings.ToLower(host)]
-	for len(prefixes) > 0 {
+	routes := t.hosts[strings.ToLower(host)]
+	for len(routes) > 0 {
 		slash := strings.LastIndexByte(path, '/')
 		if slash < 0 {
 			break
 		}
-		if route := prefixes[path[:slash+1]]; route != nil {
+		if route := routes[path[:slash+1]]; route != nil {
 			return route
 		}
 		path = path[:slash]
--- a/internal/proxy/matcher/matcher_test.go
+++ b/internal/proxy/matcher/matcher_test.go
@@ -130,3 +130,59 @@
 	_, err = update.Apply(other)
 	assert.ErrorContains(t, err, "digest")
 }
+
+// storm is a large configuration and a version of it with one changed route.
+func storm(routes int) (base, next *Table) {
+	base = table(1)
+	for i := range routes {
+		base.Routes = append(base.Routes, route(fmt.Sprint("r", i), fmt.Sprintf("h%d.example", i/8), fmt.Sprintf("/%d/", i)))
+	}
+	next = table(2, base.Routes...)
+	next.Routes = append([]*Route(nil), base.Routes...)
+	next.Routes[0] = route("r0", "h0.example", "/0/")
+	next.Routes[0].Timeout = 2 * time.Second
+	return base, next
+}
+
+// TestUpdateShares answers versions in quick succession: what did not change is neither
+// hashed nor indexed again.
+func TestUpdateShares(t *testing.T) {
+	base, next := storm(2500)
+	assert.NilError(t, base.Index())
+	update := next.Since(base)
+	assert.Equal(t, len(update.Routes), 1)
+	applied, err := update.Apply(base)
+	assert.NilError(t, err)
+	assert.Equal(t, applied.Match("h0.example", "/0/x").Timeout, 2*time.Second)
+	assert.Equal(t, base.Match("h0.example", "/0/x").Timeout, time.Second)
+	assert.Assert(t, applied.Match("h9.example", "/72/x") == base.Match("h9.example", "/72/x"))
+	allocated := testing.AllocsPerRun(5, func() {
+		_, err = update.Apply(base)
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, allocated < 100, "%v allocations for one changed route of 2,500", allocated)
+}
+
+// TestUpdateMovesPlaces swaps the prefixes of two routes and drops a third.
+func TestUpdateMovesPlaces(t *testing.T) {
+	base := table(1, route("a", "a.example", "/a/"), route("b", "a.example", "/b/"), route("c", "a.example", "/c/"))
+	assert.NilError(t, base.Index())
+	next := table(2, route("a", "a.example", "/b/"), route("b", "a.example", "/a/"))
+	assert.NilError(t, next.Index())
+	update := next.Since(base)
+	applied, err := update.Apply(base)
+	assert.NilError(t, err)
+	assert.Equal(t, applied.Match("a.example", "/b/").Name, "a")
+	assert.Equal(t, applied.Match("a.example", "/a/").Name, "b")
+	assert.Assert(t, applied.Match("a.example", "/c/") == nil)
+	assert.Equal(t, base.Match("a.example", "/c/").Name, "c")
+}
+
+func BenchmarkApply(b *testing.B) {
+	base, next := storm(2500)
+	assert.NilError(b, base.Index())
+	update := next.Since(base)
+	for b.Loop() {
+		_, _ = update.Apply(base)
+	}
+}
--- a/internal/proxy/matcher/update.go
+++ b/internal/proxy/matcher/update.go
@@ -1,6 +1,8 @@
 package matcher
 
 import (
+	"maps"
+
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/xxh3"
@@ -24,8 +26,9 @@
 // routes.
 func (t *Table) Digest() uint64 {
 	digest := hash(&t.Limits) + t.Version
-	for i := range t.Routes {
-		digest += hash(t.Routes[i])
+	for _, route := range t.Routes {
+		route.seal()
+		digest += route.hash
 	}
 	for _, service := range t.Services {
 		digest += hash(&service)
@@ -33,6 +36,14 @@
 	return digest
 }
 
+// seal computes the route's hash unless that was done before. Versions share routes, so a
+// version costs hashes of its changed routes only.
+func (r *Route) seal() {
+	if r.hash == 0 {
+		r.hash = hash(r)
+	}
+}
+
 func hash(value any) uint64 {
 	text, err := cbor.Marshal(value)
 	if err != nil {
@@ -47,6 +58,7 @@
 	known := make(map[string]*Route)
 	if base != nil {
 		update.Base = base.Version
+		known = make(map[string]*Route, len(base.Routes))
 		for _, route := range base.Routes {
 			known[route.Name] = route
 		}
@@ -67,58 +79,92 @@
 }
 
 func (r *Route) equal(other *Route) bool {
-	if len(r.Parts) != len(other.Parts) {
-		return false
-	}
-	for i := range r.Parts {
-		if r.Parts[i] != other.Parts[i] {
-			return false
-		}
+	if r == other {
+		return true
 	}
-	return r.Name == other.Name && r.Host == other.Host && r.Prefix == other.Prefix &&
-		r.Idempotent == other.Idempotent && r.Timeout == other.Timeout && r.Aim == other.Aim &&
-		r.Priority == other.Priority && r.MaxAttempts == other.MaxAttempts
+	r.seal()
+	other.seal()
+	return r.hash == other.hash
 }
 
-// Reuse replaces routes by equal ones of another version, so that versions share memory.
-func (t *Table) Reuse(other *Table) {
-	known := make(map[string]*Route, len(other.Routes))
-	for _, route := range other.Routes {
-		known[route.Name] = route
-	}
-	for i, route := range t.Routes {
-		if old := known[route.Name]; old != nil && old.equal(route) {
-			t.Routes[i] = old
-		}
+// Apply returns the version that an update leads to from base, checked whole. It shares
+// with base what did not change.
+func (u *Update) Apply(base *Table) (*Table, error) {
+	if u.Base == 0 {
+		base = &Table{}
+	} else if base == nil || base.Version != u.Base {
+		return nil, merry.Errorf("update from version %d does not fit", u.Base)
+	}
+	table := &Table{Version: u.Version, Services: make(map[string]Service, len(u.Services)), Limits: u.Limits}
+	for _, service := range u.Services {
+		table.Services[service.Name] = service
+	}
+	dropped := table.derive(base, u)
+	if found := table.Digest(); found != u.Digest {
+		return nil, merry.Errorf("version %d has digest %x, not %x", u.Version, found, u.Digest)
 	}
+	if !maps.Equal(table.Services, base.Services) {
+		return table, table.Index()
+	}
+	return table, table.reindex(base, dropped, u)
 }
 
-// Apply returns the version that an update leads to from base, checked whole.
-func (u *Update) Apply(base *Table) (*Table, error) {
-	table := &Table{Version: u.Version, Services: make(map[string]Service), Limits: u.Limits}
-	changed := make(map[string]bool, len(u.Routes)+len(u.Removed))
+// derive sets the routes to those of base with the update's changes and returns the routes
+// of base that are gone or replaced.
+func (t *Table) derive(base *Table, u *Update) []*Route {
+	changed := make(map[string]struct{}, len(u.Routes)+len(u.Removed))
 	for i := range u.Routes {
-		changed[u.Routes[i].Name] = true
-		table.Routes = append(table.Routes, &u.Routes[i])
+		changed[u.Routes[i].Name] = struct{}{}
 	}
 	for _, name := range u.Removed {
-		changed[name] = true
-	}
-	if u.Base != 0 {
-		if base == nil || base.Version != u.Base {
-			return nil, merry.Errorf("update from version %d does not fit", u.Base)
+		changed[name] = struct{}{}
+	}
+	var dropped []*Route
+	t.Routes = make([]*Route, 0, len(base.Routes)+len(u.Routes))
+	for _, route := range base.Routes {
+		if _, ok := changed[route.Name]; ok {
+			dropped = append(dropped, route)
+			continue
 		}
-		for _, route := range base.Routes {
-			if !changed[route.Name] {
-				table.Routes = append(table.Routes, route)
+		t.Routes = append(t.Routes, route)
+	}
+	for i := range u.Routes {
+		route := u.Routes[i]
+		route.hash = 0
+		t.Routes = append(t.Routes, &route)
+	}
+	return dropped
+}
+
+// reindex prepares the table for Match from the index of base, which has the same
+// services: only routes that the update changed are checked, and only their hosts' routes
+// are copied.
+func (t *Table) reindex(base *Table, dropped []*Route, u *Update) error {
+	t.hosts = maps.Clone(base.hosts)
+	if t.hosts == nil {
+		t.hosts = make(map[string]prefixes)
+	}
+	own := make(map[string]struct{})
+	edit := func(host string) prefixes {
+		if _, ok := own[host]; !ok {
+			own[host] = struct{}{}
+			t.hosts[host] = maps.Clone(t.hosts[host])
+			if t.hosts[host] == nil {
+				t.hosts[host] = make(prefixes)
 			}
 		}
+		return t.hosts[host]
 	}
-	for _, service := range u.Services {
-		table.Services[service.Name] = service
+	for _, route := range dropped {
+		delete(edit(route.Host), route.Prefix)
 	}
-	if found := table.Digest(); found != u.Digest {
-		return nil, merry.Errorf("version %d has digest %x, not %x", u.Version, found, u.Digest)
+	for _, route := range t.Routes[len(t.Routes)-len(u.Routes):] {
+		if err := t.check(route); err != nil {
+			return err
+		}
+		if err := t.place(edit(route.Host), route); err != nil {
+			return err
+		}
 	}
-	return table, table.Index()
+	return nil
 }
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -24,7 +24,6 @@
 const (
 	tick          = 250 * time.Millisecond
 	forgetAfter   = 30 * time.Second        // without a link, after which a node is no longer dialed
-	historyLength = 8                       // versions from which an update can be made
 	deliverOn     = 1200 * time.Millisecond // after SIGTERM, while other nodes take note
 	stayFor       = 2300 * time.Millisecond // after SIGTERM, until the platform has asked twice for readiness
 	takeFor       = 3 * time.Second         // after SIGTERM, for which new requests are still served
@@ -50,7 +49,7 @@
 
 	self      carrier.Peer
 	table     atomic.Pointer[matcher.Table]
-	history   atomic.Pointer[[]*matcher.Table] // newest first
+	archive   archive
 	stopping  atomic.Bool
 	most      atomic.Int64 // nodes known at once, this one included
 	started   time.Time
@@ -107,7 +106,6 @@
 	n.started = time.Now()
 	n.events = make(chan func(), eventsBacklog)
 	n.peers = make(map[string]*known)
-	n.history.Store(&[]*matcher.Table{})
 	n.self = carrier.Peer{
 		Node:    s.Node,
 		Address: s.Peer,
@@ -251,7 +249,23 @@
 		n.Log.Error("config: refused", zap.String("from", "store"), recorder.Err(err))
 		return
 	}
-	n.post(func() { n.adopt(table, "store") })
+	n.post(func() { n.adopt(n.share(table), "store") })
+}
+
+// share returns a table with the content of the given one that has unchanged parts in
+// common with the table in force, to save memory.
+func (n *Node) share(table *matcher.Table) *matcher.Table {
+	current := n.table.Load()
+	if current == nil || table.Version <= current.Version {
+		return table
+	}
+	update := table.Since(current)
+	shared, err := update.Apply(current)
+	if err != nil {
+		n.Log.Warn("config: nothing shared", zap.Uint64("version", table.Version), recorder.Err(err))
+		return table
+	}
+	return shared
 }
 
 // Receive takes in an update that another node sent.
@@ -275,19 +289,11 @@
 
 // adopt puts a configuration in force if it is newer than the present one.
 func (n *Node) adopt(table *matcher.Table, from string) {
-	current := n.table.Load()
-	if current != nil {
-		if table.Version <= current.Version {
-			return
-		}
-		table.Reuse(current)
-		if err := table.Index(); err != nil {
-			n.Log.Error("config: refused", zap.String("from", from), recorder.Err(err))
-			return
-		}
+	if table.Version <= n.Version() {
+		return
 	}
 	n.table.Store(table)
-	n.remember(table)
+	n.archive.add(table)
 	n.Log.Info("config: in force",
 		zap.Uint64("version", table.Version),
 		zap.String("from", from),
@@ -295,28 +301,8 @@
 	n.hub.Announce()
 }
 
-// remember keeps the latest versions, from which updates for other nodes are made.
-func (n *Node) remember(table *matcher.Table) {
-	history := append([]*matcher.Table{table}, *n.history.Load()...)
-	history = history[:min(len(history), historyLength)]
-	n.history.Store(&history)
-}
-
 // Since returns the update that leads another node from its version to the one in force.
-func (n *Node) Since(version uint64) *matcher.Update {
-	history := *n.history.Load()
-	if len(history) == 0 {
-		return nil
-	}
-	var base *matcher.Table
-	for _, table := range history {
-		if table.Version == version {
-			base = table
-		}
-	}
-	update := history[0].Since(base)
-	return &update
-}
+func (n *Node) Since(version uint64) *matcher.Update { return n.archive.since(version) }
 
 // Version returns the version of the configuration in force, or 0.
 func (n *Node) Version() uint64 {
