Send no new calls to a silent node, and free those that may be repeated

Ruled out: closing links sooner; a slow host would then turn its calls that must not be repeated into unknown ones. Change: a ping goes out after 0.25 s, and after 0.3 s without an answer the node is suspect: its target ranks behind all others, and calls that may be repeated come back as unknown, to be sent elsewhere within the budget. The link is still closed after 1 s. A process that itself did not run waits anew. Liveness and exchange have files of their own; the carrier has tests.

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -17,6 +17,7 @@
 	Failing  float64       // share of recent calls that the target shed or failed
 	Cold     time.Duration // for which the target remains slow
 	Age      time.Duration // of the report
+	Suspect  bool          // its node does not answer
 	Open     int           // calls that this node has open there
 	OpenThen int           // of them, when reported
 }
@@ -28,6 +29,7 @@
 	coldFactor    = 2.0                    // by which a cold target is slower
 	failurePrice  = 3.0                    // mean times in a slot that a failed call costs
 	occupiedShare = 0.3                    // of a mean time in a slot by which a full target ranks behind an empty one
+	suspectPrice  = 1000.0                 // mean times in a slot that a target beside a silent node ranks behind others
 	jitter        = 0.15                   // of the score, so that nodes with the same reports differ
 )
 
@@ -62,9 +64,10 @@
 // with what a hop between failure domains and failures cost added. typical is the
 // service's mean time in a slot; draw lies in [0, 1).
 //
-// It answers two load patterns: targets of different speed, where an even share would
-// overload the slow ones; and bursts shorter than the reports' age, where the calls that
-// this node itself has open since the report count in full.
+// It answers three load patterns: targets of different speed, where an even share would
+// overload the slow ones; bursts shorter than the reports' age, where the calls that this
+// node itself has open since the report count in full; and hosts that fall silent, whose
+// last report says that they are free.
 func Score(c *Candidate, typical time.Duration, draw float64) float64 {
 	mean := c.mean().Seconds()
 	score := c.Expected().Seconds() + mean
@@ -72,6 +75,9 @@
 		score += farShare * typical.Seconds()
 	}
 	score += failurePrice * c.Failing * typical.Seconds()
+	if c.Suspect {
+		score += suspectPrice * typical.Seconds()
+	}
 	occupied := float64(max(c.Busy, c.Open)) / float64(max(c.Slots, 1))
 	score += occupiedShare * mean * min(occupied, 1)
 	return score * (1 + jitter*(draw-0.5))
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -26,6 +26,7 @@
 		"failing":                       {Candidate{Near: true, Slots: 6, Mean: mean, Failing: 0.5}, true},
 		"cold":                          {Candidate{Near: true, Slots: 6, Mean: mean, Cold: time.Second}, true},
 		"has many of this node's":       {Candidate{Near: true, Slots: 6, Mean: mean, Open: 7}, true},
+		"beside a silent node":          {Candidate{Near: true, Slots: 6, Mean: mean, Suspect: true}, true},
 		"an old report of others' work": {Candidate{Near: true, Slots: 6, Busy: 12, Wait: mean, Mean: mean / 2, Age: 3 * time.Second}, false},
 	}
 	for name, test := range tests {
--- /dev/null
+++ b/internal/proxy/carrier/carrier_test.go
@@ -0,0 +1,198 @@
+package carrier
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"clementinerock/internal/proxy/matcher"
+)
+
+// peer is the server behind a hub under test.
+type peer struct {
+	mu     sync.Mutex
+	serve  func(call *Call, answer func(*Answer))
+	voided map[string]bool
+	given  chan string // ids of calls that were given up
+}
+
+func (p *peer) Serve(call *Call, answer func(*Answer)) func() {
+	p.serve(call, answer)
+	return func() { p.given <- string(call.ID) }
+}
+
+func (p *peer) Void(id []byte, _ uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.voided[string(id)]
+}
+
+func (p *peer) State() State                    { return State{Serving: true, Slots: 1} }
+func (p *peer) Version() uint64                 { return 0 }
+func (p *peer) Since(uint64) *matcher.Update    { return nil }
+func (p *peer) Receive(*matcher.Update, func()) {}
+
+func startHub(t *testing.T, name string, p *peer) *Hub {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	h := &Hub{
+		Self:   Peer{Node: name, Address: address, Started: time.Now().UnixNano()},
+		Server: p,
+		Log:    zap.NewNop(),
+		Meet:   func([]Peer) {},
+	}
+	stop, err := h.Start()
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	return h
+}
+
+// gate passes bytes on to an address until it is shut; from then on open connections are
+// silent, and new ones work.
+type gate struct {
+	address string
+	mu      sync.Mutex
+	shut    chan struct{}
+}
+
+func startGate(t *testing.T, to string) *gate {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	g := &gate{address: listener.Addr().String(), shut: make(chan struct{})}
+	go func() {
+		for {
+			in, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp4", to)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			g.mu.Lock()
+			shut := g.shut
+			g.mu.Unlock()
+			go pass(out, in, shut)
+			go pass(in, out, shut)
+		}
+	}()
+	return g
+}
+
+func (g *gate) silence() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.shut)
+	g.shut = make(chan struct{})
+}
+
+func pass(to, from net.Conn, shut <-chan struct{}) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		select {
+		case <-shut:
+			_, _ = io.Copy(io.Discard, from)
+			return
+		default:
+		}
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// linkThrough returns a link to a server, by way of a gate.
+func linkThrough(t *testing.T, p *peer) (*Hub, *Link, *gate) {
+	t.Helper()
+	far := startHub(t, "far", p)
+	g := startGate(t, far.Self.Address)
+	near := startHub(t, "near", &peer{given: make(chan string, 8)})
+	near.Want(map[string]Peer{g.address: {}})
+	for range 100 {
+		if links := near.Links(); len(links) > 0 {
+			return near, links[0], g
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("no link")
+	return nil, nil, nil
+}
+
+func echo(call *Call, answer func(*Answer)) {
+	answer(&Answer{Outcome: Answered, Body: call.ID, Load: State{Serving: true, Slots: 1}})
+}
+
+func TestExchange(t *testing.T) {
+	_, link, _ := linkThrough(t, &peer{serve: echo, given: make(chan string, 8)})
+	answer := link.Exchange(&Call{ID: []byte("a")}, nil, time.Second)
+	assert.Equal(t, answer.Outcome, Answered)
+	assert.Equal(t, string(answer.Body), "a")
+	assert.Assert(t, !link.Suspect())
+}
+
+// TestGone tells the peer that the client left.
+func TestGone(t *testing.T) {
+	p := &peer{serve: func(*Call, func(*Answer)) {}, given: make(chan string, 8)}
+	_, link, _ := linkThrough(t, p)
+	gone := make(chan struct{})
+	time.AfterFunc(50*time.Millisecond, func() { close(gone) })
+	assert.Assert(t, link.Exchange(&Call{ID: []byte("a")}, gone, time.Second) == nil)
+	assert.Equal(t, <-p.given, "a")
+}
+
+// TestSilentLink lets a link fall silent while calls are at work. A call that may be
+// repeated is free to go elsewhere long before the link is closed; one that may not stays
+// until then.
+func TestSilentLink(t *testing.T) {
+	tests := map[string]struct {
+		idempotent  bool
+		least, most time.Duration
+	}{
+		"may be repeated":     {true, quietLimit, quietLimit + suspectAfter + 400*time.Millisecond},
+		"may not be repeated": {false, pingTimeout, quietLimit + pingTimeout + 500*time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &peer{serve: func(*Call, func(*Answer)) {}, given: make(chan string, 8)}
+			_, link, g := linkThrough(t, p)
+			g.silence()
+			began := time.Now()
+			answer := link.Exchange(&Call{ID: []byte("a"), Idempotent: test.idempotent}, nil, 5*time.Second)
+			spent := time.Since(began)
+			assert.Equal(t, answer.Outcome, Unknown)
+			assert.Assert(t, spent >= test.least && spent <= test.most, "%s", spent)
+			if test.idempotent {
+				assert.Assert(t, link.Suspect())
+			}
+		})
+	}
+}
+
+// TestVoid settles an attempt over a fresh link after the first one fell silent.
+func TestVoid(t *testing.T) {
+	p := &peer{serve: func(*Call, func(*Answer)) {}, given: make(chan string, 8), voided: map[string]bool{"begun": false, "waits": true}}
+	near, link, g := linkThrough(t, p)
+	g.silence()
+	fresh, cleanUp, err := near.Redial(g.address)
+	assert.NilError(t, err)
+	defer cleanUp()
+	assert.Equal(t, fresh.Peer.Started, link.Peer.Started)
+	assert.Assert(t, fresh.Void([]byte("waits"), 1))
+	assert.Assert(t, !fresh.Void([]byte("begun"), 1))
+}
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -19,7 +19,8 @@
 	longBackoff   = time.Second
 	idlePing      = time.Second // between pings of an idle link
 	linksPerPing  = 20          // links of a node that are pinged in idlePing on average
-	checkInterval = 200 * time.Millisecond
+	checkInterval = 100 * time.Millisecond
+	checkLate     = 150 * time.Millisecond // beyond its time, for which this process is to blame
 	fetchPause    = 250 * time.Millisecond // in which a peer answers a request for its configuration
 )
 
@@ -286,15 +287,22 @@
 func (h *Hub) check(stop <-chan struct{}) {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-stop:
 			return
-		case now := <-ticker.C:
-			links := h.Links()
-			for _, l := range links {
-				l.Check(now, h.idle(l, len(links)))
+		case <-ticker.C:
+		}
+		now := time.Now()
+		late := now.Sub(last) > checkInterval+checkLate
+		last = now
+		links := h.Links()
+		for _, l := range links {
+			if late {
+				l.postpone(now)
 			}
+			l.Check(now, h.idle(l, len(links)))
 		}
 	}
 }
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -21,8 +21,6 @@
 	readBuffer    = 2 << 10  // bytes
 	writeTimeout  = time.Second
 	helloTimeout  = time.Second
-	quietLimit    = 400 * time.Millisecond  // of silence with open calls before a ping
-	pingTimeout   = 1000 * time.Millisecond // in which a ping is answered
 	voidTimeout   = 500 * time.Millisecond
 	answerBacklog = 1
 )
@@ -64,7 +62,7 @@
 
 	mu      sync.Mutex
 	next    uint64
-	calls   map[uint64]chan *Answer
+	calls   map[uint64]*pending
 	voids   map[uint64]chan bool
 	serving map[uint64]func()
 	closed  bool
@@ -75,6 +73,7 @@
 	openThen atomic.Int64 // of them, when the state was reported
 	heard    atomic.Int64 // Unix nanoseconds of the last frame
 	asked    atomic.Int64 // Unix nanoseconds of the ping that waits for an answer, or 0
+	suspect  atomic.Bool  // that ping waits for long
 }
 
 func (h *Hub) newLink(conn net.Conn) *Link {
@@ -84,7 +83,7 @@
 		conn:    conn,
 		reader:  bufio.NewReaderSize(conn, readBuffer),
 		done:    make(chan struct{}),
-		calls:   make(map[uint64]chan *Answer),
+		calls:   make(map[uint64]*pending),
 		voids:   make(map[uint64]chan bool),
 		serving: make(map[uint64]func()),
 	}
@@ -269,7 +268,7 @@
 	l.mu.Unlock()
 	if ok {
 		l.open.Add(-1)
-		waiting <- frame.Answer
+		waiting.answers <- frame.Answer
 	}
 	l.report(&frame.Answer.Load)
 	return nil
@@ -321,111 +320,9 @@
 	return nil
 }
 
-// Exchange sends a call and waits for its answer. If gone is closed first, the call is
-// given up and the answer is nil. The outcome is Refused if the peer can't have read the
-// call, and Unknown if the link broke or the peer stayed silent until the limit.
-func (l *Link) Exchange(call *Call, gone <-chan struct{}, limit time.Duration) *Answer {
-	waiting := make(chan *Answer, answerBacklog)
-	l.mu.Lock()
-	if l.closed {
-		l.mu.Unlock()
-		return &Answer{Outcome: Refused, Reason: "link closed"}
-	}
-	l.next++
-	number := l.next
-	l.calls[number] = waiting
-	l.mu.Unlock()
-	l.open.Add(1)
-	if err := l.send(kindCall, &callFrame{Number: number, Call: call}); err != nil {
-		l.forget(number)
-		l.Close()
-		return &Answer{Outcome: Refused, Reason: "link broke"}
-	}
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case answer := <-waiting:
-		return answer
-	case <-l.done:
-		return &Answer{Outcome: Unknown, Reason: "link broke"}
-	case <-gone:
-		l.forget(number)
-		l.reply(kindCancel, &numberFrame{Number: number})
-		return nil
-	case <-timer.C:
-		l.forget(number)
-		return &Answer{Outcome: Unknown, Reason: "peer silent"}
-	}
-}
-
-func (l *Link) forget(number uint64) {
-	l.mu.Lock()
-	_, ok := l.calls[number]
-	delete(l.calls, number)
-	l.mu.Unlock()
-	if ok {
-		l.open.Add(-1)
-	}
-}
-
-// Void asks the peer to forbid an attempt. It reports true only if the peer says that the
-// attempt never reached its target.
-func (l *Link) Void(id []byte, attempt uint64) bool {
-	waiting := make(chan bool, answerBacklog)
-	l.mu.Lock()
-	if l.closed {
-		l.mu.Unlock()
-		return false
-	}
-	l.next++
-	number := l.next
-	l.voids[number] = waiting
-	l.mu.Unlock()
-	if err := l.send(kindVoid, &voidFrame{Number: number, ID: id, Attempt: attempt}); err != nil {
-		l.Close()
-		return false
-	}
-	timer := time.NewTimer(voidTimeout)
-	defer timer.Stop()
-	select {
-	case voided := <-waiting:
-		return voided
-	case <-l.done:
-	case <-timer.C:
-	}
-	return false
-}
-
-// Heard returns how long ago the peer last sent anything.
-func (l *Link) Heard(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - l.heard.Load())
-}
-
 // Tell sends the present state.
 func (l *Link) Tell() { l.reply(kindState, &stateFrame{State: l.server.State()}) }
 
-// Check closes a link whose peer does not answer a ping, and sends one if it was idle for
-// long, or quiet while calls wait.
-func (l *Link) Check(now time.Time, idle time.Duration) {
-	if asked := l.asked.Load(); asked != 0 {
-		if now.UnixNano()-asked > int64(pingTimeout) && l.heard.Load() < asked {
-			l.Close()
-		} else if l.heard.Load() >= asked {
-			l.asked.Store(0)
-		}
-		return
-	}
-	limit := idle
-	if l.open.Load() > 0 {
-		limit = quietLimit
-	}
-	if now.UnixNano()-l.heard.Load() < int64(limit) {
-		return
-	}
-	l.asked.Store(now.UnixNano())
-	go l.reply(kindPing, &numberFrame{})
-}
-
 // Close ends the link. Calls of the peer that may be repeated are given up.
 func (l *Link) Close() {
 	l.mu.Lock()
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -372,6 +372,7 @@
 		c := p.candidate(&state)
 		c.Near = l.Peer.Zone == f.Zone
 		c.Age, c.Open, c.OpenThen = age, open, openThen
+		c.Suspect = l.Suspect()
 		candidates = append(candidates, c)
 	}
 	if !p.nested {
