Keep one link per pair of nodes, and tell peers and versions to those who need them

Cause: on 70 nodes some 40 of the 48 MB between failure domains were not requests: each of 4,830 links greeted with the list of all nodes, each node announced each version on all its links, and both directions of a pair had links, pings and goroutines of their own. Every node read the configuration at its start, followed the store until it heard a reader, and all did while the store was away. Ruled out: the answers' reports on load, some 40 bytes each. Few greetings ask for peers. Who has a version from the store announces it to all, who has it from a peer to two neighbours; nodes fetch from their own failure domain and ask again in the next check. One reader per failure domain, the others stand in one after the other. The first write of the own entry assumes that there is none.

--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -1,7 +1,9 @@
 package carrier
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,18 +15,14 @@
 )
 
 const (
-	dialLimit     = 500 * time.Millisecond
-	unackedLimit  = 1500 * time.Millisecond // a peer that acknowledges no byte for so long is taken for dead
-	firstBackoff  = 100 * time.Millisecond
-	longBackoff   = time.Second
-	idlePing      = time.Second // between pings of an idle link
-	linksPerPing  = 20          // links of a node that are pinged in idlePing on average
-	checkInterval = 100 * time.Millisecond
-	checkLate     = 150 * time.Millisecond // beyond its time, for which this process is to blame
-	fetchPause    = 250 * time.Millisecond // in which a peer answers a request for its configuration
+	dialLimit    = 500 * time.Millisecond
+	unackedLimit = 1500 * time.Millisecond // a peer that acknowledges no byte for so long is taken for dead
+	fetchPause   = 250 * time.Millisecond  // in which a peer answers a request for its configuration
+	neighbours   = 2                       // nodes of the failure domain that are told of a version that a peer sent
 )
 
-// Hub keeps a link to each known node and accepts theirs.
+// Hub keeps one link to each known node. Links carry calls in both directions, whichever
+// side dialed.
 type Hub struct {
 	Self   Peer
 	Server Server
@@ -33,22 +31,18 @@
 
 	mu       sync.Mutex
 	wanted   map[string]*dialing // by address
-	links    []*Link             // that this node dialed
-	accepted map[*Link]struct{}
+	all      map[*Link]struct{}
+	links    []*Link // the one to use for each node; replaced, never changed
 	closed   bool
+	asked    int       // greetings in which peers were asked for
 	fetching uint64    // newest version that was asked for
 	fetched  time.Time // when
 }
 
-type dialing struct {
-	peer    Peer
-	stopped chan struct{}
-}
-
 // Start listens for links. The clean-up function closes all of them.
 func (h *Hub) Start() (func(), error) {
 	h.wanted = make(map[string]*dialing)
-	h.accepted = make(map[*Link]struct{})
+	h.all = make(map[*Link]struct{})
 	listener, err := net.Listen("tcp4", h.Self.Address)
 	if err != nil {
 		return nil, merry.Prepend(err, "listen for links")
@@ -66,13 +60,10 @@
 func (h *Hub) close() {
 	h.mu.Lock()
 	h.closed = true
-	links := append([]*Link(nil), h.links...)
-	for l := range h.accepted {
+	links := make([]*Link, 0, len(h.all))
+	for l := range h.all {
 		links = append(links, l)
 	}
-	for _, d := range h.wanted {
-		close(d.stopped)
-	}
 	h.wanted = nil
 	h.mu.Unlock()
 	for _, l := range links {
@@ -90,179 +81,125 @@
 	}
 }
 
+// welcome serves a link that another node dialed.
 func (h *Hub) welcome(conn net.Conn) {
 	l := h.newLink(conn)
-	peers, err := l.greet(h.Self, h.Peers())
+	other, err := l.welcome(&hello{Self: h.Self, State: h.Server.State()}, h.Peers)
 	if err != nil {
 		_ = conn.Close() // the peer dials again
 		h.Log.Info("link: greeting failed", zap.String("from", conn.RemoteAddr().String()), recorder.Err(err))
 		return
 	}
-	h.mu.Lock()
-	if h.closed {
-		h.mu.Unlock()
-		l.Close()
+	if other.Once {
+		_ = l.run() // ends when the peer has its answer
 		return
 	}
-	h.accepted[l] = struct{}{}
-	h.mu.Unlock()
-	h.Meet(append(peers, l.Peer))
-	_ = l.run() // the dialing side logs why it ended
-	h.mu.Lock()
-	delete(h.accepted, l)
-	h.mu.Unlock()
-}
-
-// Peers returns all nodes that links are wanted to.
-func (h *Hub) Peers() []Peer {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	peers := make([]Peer, 0, len(h.wanted))
-	for _, d := range h.wanted {
-		if d.peer.Node != "" {
-			peers = append(peers, d.peer)
-		}
-	}
-	return peers
+	h.serve(l, nil)
 }
 
-// Want keeps links to exactly the given peers, by address.
-func (h *Hub) Want(peers map[string]Peer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.closed {
-		return
-	}
-	for address, d := range h.wanted {
-		if _, ok := peers[address]; !ok {
-			close(d.stopped)
-			delete(h.wanted, address)
-			h.drop(address)
-		}
-	}
-	for address, peer := range peers {
-		if d, ok := h.wanted[address]; ok {
-			d.peer = peer
-			continue
-		}
-		if address == h.Self.Address {
-			continue
-		}
-		d := &dialing{peer: peer, stopped: make(chan struct{})}
-		h.wanted[address] = d
-		go h.dial(address, d.stopped)
-	}
-}
-
-// drop closes the links to an address.
-func (h *Hub) drop(address string) {
-	for _, l := range h.links {
-		if l.Peer.Address == address {
-			go l.Close()
-		}
-	}
-}
-
-// dial keeps a link to a peer until it is no longer wanted.
-func (h *Hub) dial(address string, stopped <-chan struct{}) {
-	pause := firstBackoff
-	for {
-		started := time.Now()
-		err := h.connect(address, stopped)
-		if time.Since(started) > longBackoff {
-			pause = firstBackoff
-		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-stopped:
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
-		if pause < longBackoff {
-			h.Log.Info("link: lost", zap.String("address", address), recorder.Err(err))
-		}
-		pause = min(2*pause, longBackoff)
-	}
-}
-
-// connect makes one link and returns when it has ended.
-func (h *Hub) connect(address string, stopped <-chan struct{}) error {
-	conn, err := dialer.Dial(address, dialLimit, unackedLimit)
-	if err != nil {
-		return err
-	}
-	l := h.newLink(conn)
-	peers, err := l.greet(h.Self, h.Peers())
-	if err != nil {
-		_ = conn.Close() // it is dialed again
-		return err
-	}
-	if !h.add(l, stopped) {
+// serve uses a link until it ends.
+func (h *Hub) serve(l *Link, peers []Peer) error {
+	if !h.add(l) {
 		l.Close()
 		return errClosed
 	}
 	h.Meet(append(peers, l.Peer))
-	h.Log.Info("link: up", zap.String("node", l.Peer.Node), zap.String("address", l.Peer.Address))
-	err = l.run()
+	h.Log.Info("link: up",
+		zap.String("node", l.Peer.Node),
+		zap.String("address", l.Peer.Address),
+		zap.Bool("dialed", l.dialed))
+	err := l.run()
 	h.remove(l)
+	h.Log.Info("link: lost",
+		zap.String("node", l.Peer.Node),
+		zap.String("address", l.Peer.Address),
+		recorder.Err(err))
 	return err
 }
 
-func (h *Hub) add(l *Link, stopped <-chan struct{}) bool {
+func (h *Hub) add(l *Link) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	select {
-	case <-stopped:
-		return false
-	default:
-	}
 	if h.closed || l.Peer.Node == h.Self.Node {
 		return false
 	}
-	l.heard.Store(time.Now().UnixNano())
-	h.links = append(append([]*Link(nil), h.links...), l)
+	h.all[l] = struct{}{}
+	h.choose()
 	return true
 }
 
 func (h *Hub) remove(l *Link) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	links := make([]*Link, 0, len(h.links))
-	for _, other := range h.links {
-		if other != l {
-			links = append(links, other)
+	delete(h.all, l)
+	h.choose()
+}
+
+// choose takes for each node the link that both sides prefer.
+func (h *Hub) choose() {
+	best := make(map[string]*Link, len(h.all))
+	for l := range h.all {
+		if other := best[l.Peer.Node]; other == nil || h.better(l, other) {
+			best[l.Peer.Node] = l
 		}
 	}
+	links := make([]*Link, 0, len(best))
+	for _, l := range best {
+		links = append(links, l)
+	}
+	slices.SortFunc(links, func(a, b *Link) int { return cmp.Compare(a.Peer.Node, b.Peer.Node) })
 	h.links = links
 }
 
-// Links returns the links that are up. The slice must not be changed.
+// better reports whether one of two links to a node goes before the other: the one to its
+// later start, and of those to the same start the one that the later of both nodes dialed.
+func (h *Hub) better(a, b *Link) bool {
+	if a.Peer.Started != b.Peer.Started {
+		return a.Peer.Started > b.Peer.Started
+	}
+	return a.dialed != b.dialed && a.dialed == h.dialsFirst(a.Peer)
+}
+
+// Peers returns all nodes that links are wanted to.
+func (h *Hub) Peers() []Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	peers := make([]Peer, 0, len(h.wanted))
+	for _, d := range h.wanted {
+		if d.peer.Node != "" {
+			peers = append(peers, d.peer)
+		}
+	}
+	return peers
+}
+
+// Links returns the links that are up, one for each node, in the order of the nodes' names.
+// The slice must not be changed.
 func (h *Hub) Links() []*Link {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.links
 }
 
-// Linked reports whether a link to an address is up.
-func (h *Hub) Linked(address string) bool {
-	for _, l := range h.Links() {
-		if l.Peer.Address == address {
-			return true
-		}
+// Linked returns the addresses to which a link is up.
+func (h *Hub) Linked() map[string]struct{} {
+	links := h.Links()
+	linked := make(map[string]struct{}, len(links))
+	for _, l := range links {
+		linked[l.Peer.Address] = struct{}{}
 	}
-	return false
+	return linked
 }
 
-// Redial returns a link to the node at an address, made anew. The clean-up function ends
-// it.
+// Redial returns a link to the node at an address, made anew for one question. The clean-up
+// function ends it.
 func (h *Hub) Redial(address string) (*Link, func(), error) {
 	conn, err := dialer.Dial(address, dialLimit, unackedLimit)
 	if err != nil {
 		return nil, nil, err
 	}
 	l := h.newLink(conn)
-	if _, err := l.greet(h.Self, nil); err != nil {
+	if _, err := l.greet(&hello{Self: h.Self, State: h.Server.State(), Once: true}); err != nil {
 		_ = conn.Close() // the caller learns of the failure
 		return nil, nil, err
 	}
@@ -270,55 +207,71 @@
 	return l, l.Close, nil
 }
 
-// Announce tells all nodes that dialed this one its present state.
+// Announce tells all nodes the present state.
 func (h *Hub) Announce() {
-	h.mu.Lock()
-	links := make([]*Link, 0, len(h.accepted))
-	for l := range h.accepted {
-		links = append(links, l)
-	}
-	h.mu.Unlock()
-	for _, l := range links {
+	for _, l := range h.Links() {
 		l.Tell()
 	}
 }
 
-// check closes links that are silent.
-func (h *Hub) check(stop <-chan struct{}) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	last := time.Now()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
+// AnnounceNear tells a few nodes of the failure domain the present state: those that follow
+// this one in the order of names. A version that a peer sent reaches them even if the nodes
+// that read it from the store don't.
+func (h *Hub) AnnounceNear() {
+	links := h.Links()
+	first, _ := slices.BinarySearchFunc(links, h.Self.Node, func(l *Link, node string) int {
+		return cmp.Compare(l.Peer.Node, node)
+	})
+	told := 0
+	for i := range links {
+		l := links[(first+i)%len(links)]
+		if l.Peer.Zone != h.Self.Zone {
+			continue
 		}
-		now := time.Now()
-		late := now.Sub(last) > checkInterval+checkLate
-		last = now
-		links := h.Links()
-		for _, l := range links {
-			if late {
-				l.postpone(now)
-			}
-			l.Check(now, h.idle(l, len(links)))
+		l.Tell()
+		if told++; told == neighbours {
+			return
 		}
 	}
 }
 
-// idle returns how long a link may be idle before it is pinged. Beyond the own failure
-// domain it grows with the number of links, so that the pings of all nodes grow no faster
-// than their number.
-func (h *Hub) idle(l *Link, links int) time.Duration {
+// newer is called when a peer has a newer configuration. It is asked for at once if it is
+// near or nobody near could be asked; the next check asks otherwise.
+func (h *Hub) newer(l *Link, _ uint64) {
 	if l.Peer.Zone == h.Self.Zone {
-		return idlePing
+		h.fetch(l)
+		return
+	}
+	near := slices.ContainsFunc(h.Links(), func(other *Link) bool { return other.Peer.Zone == h.Self.Zone })
+	if !near {
+		h.fetch(l)
+	}
+}
+
+// catchUp asks a peer that has a newer configuration for it, one of the same failure domain
+// before others.
+func (h *Hub) catchUp() {
+	var source *Link
+	version := h.Server.Version()
+	for _, l := range h.Links() {
+		if l.state.Load().Version <= version || l.Suspect() {
+			continue
+		}
+		if source == nil || l.Peer.Zone == h.Self.Zone {
+			source = l
+		}
+		if l.Peer.Zone == h.Self.Zone {
+			break
+		}
+	}
+	if source != nil {
+		h.fetch(source)
 	}
-	return max(idlePing, time.Duration(links)*idlePing/linksPerPing)
 }
 
-// newer asks a peer for its configuration, unless another one was asked a moment ago.
-func (h *Hub) newer(l *Link, version uint64) {
+// fetch asks a peer for its configuration, unless another one was asked a moment ago.
+func (h *Hub) fetch(l *Link) {
+	version := l.state.Load().Version
 	now := time.Now()
 	h.mu.Lock()
 	if version <= h.fetching && now.Sub(h.fetched) < fetchPause {
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -52,6 +52,7 @@
 type Link struct {
 	Peer Peer
 
+	dialed bool // by this node
 	server Server
 	newer  func(l *Link, version uint64) // called when the peer has a newer configuration
 	conn   net.Conn
@@ -89,28 +90,60 @@
 	}
 }
 
-// greet exchanges the first frames.
-func (l *Link) greet(self Peer, peers []Peer) ([]Peer, error) {
+// greet exchanges the first frames on a link that this node dialed. It returns the peers
+// that the other node knows, if ask says so.
+func (l *Link) greet(own *hello) ([]Peer, error) {
 	if err := l.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, err
 	}
-	if err := l.send(kindHello, &hello{Self: self, State: l.server.State(), Peers: peers}); err != nil {
+	if err := l.send(kindHello, own); err != nil {
 		return nil, err
 	}
+	other, err := l.hear()
+	if err != nil {
+		return nil, err
+	}
+	return other.Peers, l.conn.SetDeadline(time.Time{})
+}
+
+// welcome exchanges the first frames on a link that the other node dialed. peers returns
+// what it is told if it asks.
+func (l *Link) welcome(own *hello, peers func() []Peer) (*hello, error) {
+	if err := l.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return nil, err
+	}
+	other, err := l.hear()
+	if err != nil {
+		return nil, err
+	}
+	if other.Ask {
+		own.Peers = peers()
+	}
+	if err := l.send(kindHello, own); err != nil {
+		return nil, err
+	}
+	return other, l.conn.SetDeadline(time.Time{})
+}
+
+// hear reads the other node's first frame.
+func (l *Link) hear() (*hello, error) {
 	frameKind, body, err := l.read()
 	if err != nil {
 		return nil, err
 	}
-	var other hello
 	if frameKind != kindHello {
 		return nil, merry.Errorf("first frame of kind %d", frameKind)
 	}
-	if err := decoding.Unmarshal(body, &other); err != nil {
+	other := new(hello)
+	if err := decoding.Unmarshal(body, other); err != nil {
 		return nil, merry.Prepend(err, "decode greeting")
 	}
 	l.Peer = other.Self
-	l.report(&other.State)
-	return other.Peers, l.conn.SetDeadline(time.Time{})
+	now := time.Now().UnixNano()
+	l.heard.Store(now)
+	l.reported.Store(now)
+	l.state.Store(&other.State)
+	return other, nil
 }
 
 // State returns the peer's last report, its age, and how many more calls this node has
@@ -191,6 +224,7 @@
 		return l.takeState(frameKind, body)
 	case kindPing:
 		l.reply(kindPong, &stateFrame{State: l.server.State()})
+		return l.takeState(frameKind, body)
 	case kindFetch:
 		return l.update(body)
 	case kindUpdate:
--- a/internal/proxy/carrier/liveness.go
+++ b/internal/proxy/carrier/liveness.go
@@ -52,7 +52,7 @@
 		return
 	}
 	l.asked.Store(now.UnixNano())
-	go l.reply(kindPing, &numberFrame{})
+	go l.reply(kindPing, &stateFrame{State: l.server.State()})
 }
 
 // postpone starts the wait for the answer to a ping anew, since this process itself did not
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -111,7 +111,9 @@
 	_     struct{} `cbor:",toarray"`
 	Self  Peer
 	State State
-	Peers []Peer
+	Ask   bool   // from the node that dialed: it wants to know the other's peers
+	Once  bool   // from the node that dialed: the link is for one question and carries no calls
+	Peers []Peer // if they were asked for
 }
 
 type callFrame struct {
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -29,8 +29,10 @@
 	endLimit     = 300 * time.Millisecond // for removing the own entry; it lapses otherwise
 	firstPause   = 100 * time.Millisecond // after a failed call; doubles
 	longPause    = time.Second
-	readers      = 2                       // nodes of a failure domain that follow the store
+	settleTime   = time.Second             // after the start, for links to come up and peers to send their configuration
+	readers      = 1                       // nodes of a failure domain that follow the store
 	readerQuiet  = 1300 * time.Millisecond // of silence after which a reader is not relied on
+	standInAfter = 300 * time.Millisecond  // without a reader, for each node that goes before, until the next one reads
 )
 
 // Store is the platform's store.
@@ -48,8 +50,10 @@
 type Sink interface {
 	// Config takes the operator's configuration.
 	Config(text []byte)
-	// Joined takes the entry of a node.
-	Joined(peer carrier.Peer)
+	// Meet takes the entries of nodes.
+	Meet(peers []carrier.Peer)
+	// Version returns the version of the configuration in force, or 0.
+	Version() uint64
 }
 
 // Finder is this node's side of the store.
@@ -64,8 +68,11 @@
 	lost    chan struct{} // signals that the own entry is gone
 	ended   chan struct{}
 	lease   uint64
+	unused  uint64 // lease that was granted and holds no key, or 0
+	entered bool   // the own entry may be there
 	healthy atomic.Bool
 	reads   bool
+	heard   time.Time // last time that a peer followed the store
 }
 
 // Start follows the store until the clean-up function is called, which removes the own
@@ -112,13 +119,15 @@
 // Fresh reports whether this node follows the store and has heard from it lately.
 func (f *Finder) Fresh() bool { return f.healthy.Load() }
 
-// Reader decides whether a node follows the store: the strongest few of its failure domain
-// do, and everyone who can't rely on them. peers are the nodes of the same failure domain
-// that it hears, with whether they follow the store.
+// Reader decides whether a node follows the store: the strongest of its failure domain does.
+// While nobody there has heard from the store, the others join in one after the other. peers
+// are the nodes of the failure domain that it hears, with whether they follow the store;
+// alone is how long none of them has.
 //
-// It answers the pattern in which each change is read by every node at once, and the one
-// in which a node is cut off from those that read for it.
-func Reader(self carrier.Peer, peers map[carrier.Peer]bool) bool {
+// It answers the pattern in which each change is read by every node at once, the one in
+// which a node is cut off from those that read for it, and the one in which the store is
+// away and every node would ask it again and again.
+func Reader(self carrier.Peer, peers map[carrier.Peer]bool, alone time.Duration) bool {
 	before := 0
 	fresh := false
 	for peer, reads := range peers {
@@ -127,7 +136,10 @@
 		}
 		fresh = fresh || reads
 	}
-	return before < readers || !fresh
+	if before < readers {
+		return true
+	}
+	return !fresh && alone >= time.Duration(before)*standInAfter
 }
 
 func goesBefore(a, b carrier.Peer) bool {
@@ -140,27 +152,54 @@
 	return a.Node < b.Node
 }
 
-// reader reports whether this node follows the store at the moment.
-func (f *Finder) reader() bool {
+// role decides whether this node follows the store at the moment, and logs when that
+// changes.
+func (f *Finder) role() bool {
 	now := time.Now()
 	peers := make(map[carrier.Peer]bool)
 	for _, l := range f.Hub.Links() {
 		if l.Peer.Zone == f.Self.Zone && l.Heard(now) < readerQuiet {
 			state, _, _, _ := l.State()
 			peers[l.Peer] = state.Reads
+			if state.Reads {
+				f.heard = now
+			}
 		}
 	}
-	return Reader(f.Self, peers)
+	reads := Reader(f.Self, peers, now.Sub(f.heard))
+	if reads != f.reads {
+		f.reads = reads
+		f.Log.Info("store: role changed", zap.Bool("reader", reads), zap.Int("peers", len(peers)))
+	}
+	return reads
 }
 
-// follow reads the configuration once, and then waits for changes while this node is a
-// reader.
+// settle waits after the start until a peer has sent the configuration and it is known who
+// follows the store.
+func (f *Finder) settle() bool {
+	for began := time.Now(); time.Since(began) < settleTime; {
+		if !f.sleep(rolePause) {
+			return false
+		}
+		if f.Sink.Version() > 0 {
+			break
+		}
+	}
+	f.heard = time.Now()
+	return true
+}
+
+// follow reads the configuration and waits for changes while this node is a reader.
 func (f *Finder) follow() {
 	var revision uint64
 	synced := false
 	pause := firstPause
+	if !f.settle() {
+		return
+	}
 	for {
-		if synced && !f.role() {
+		if !f.role() {
+			synced = false
 			f.healthy.Store(false)
 			if !f.sleep(rolePause) {
 				return
@@ -189,16 +228,6 @@
 	}
 }
 
-// role returns whether this node is a reader, and logs when that changes.
-func (f *Finder) role() bool {
-	reads := f.reader()
-	if reads != f.reads {
-		f.reads = reads
-		f.Log.Info("store: role changed", zap.Bool("reader", reads))
-	}
-	return reads
-}
-
 // judge logs when the store is lost or back.
 func (f *Finder) judge(err error) {
 	if healthy := err == nil; healthy != f.healthy.Load() {
@@ -261,6 +290,7 @@
 // entries takes in all entries. A missing own one is written again.
 func (f *Finder) entries(items []platform.Item) {
 	own := false
+	peers := make([]carrier.Peer, 0, len(items))
 	for i := range items {
 		var peer carrier.Peer
 		node := strings.TrimPrefix(items[i].Key, platform.PrefixNodes)
@@ -269,8 +299,9 @@
 			continue
 		}
 		own = own || node == f.Self.Node
-		f.Sink.Joined(peer)
+		peers = append(peers, peer)
 	}
+	f.Sink.Meet(peers)
 	if !own {
 		select {
 		case f.lost <- struct{}{}:
@@ -308,9 +339,17 @@
 var errOvertaken = merry.Sentinel("entry belongs to a later start of this node")
 
 // enter writes the own entry under a new lease, on the condition that no later start of
-// this node wrote it.
+// this node wrote it. The first try assumes that there is none.
 func (f *Finder) enter() error {
 	key := platform.PrefixNodes + f.Self.Node
+	if !f.entered {
+		err := f.write(key, 0)
+		if !errors.Is(err, platform.ErrConflict) {
+			f.entered = err == nil || errors.Is(err, platform.ErrUnknown)
+			return err
+		}
+	}
+	f.entered = true
 	item, _, err := f.Store.Get(key)
 	if err != nil && !errors.Is(err, platform.ErrMissing) {
 		return err
@@ -325,17 +364,29 @@
 	if err == nil && peer.Started == f.Self.Started && item.Lease == f.lease {
 		return nil // it is there, and what said otherwise was old
 	}
+	return f.write(key, item.Revision)
+}
+
+// write writes the own entry under a lease if the key still has a revision. A lease of an
+// earlier try is used again.
+func (f *Finder) write(key string, revision uint64) error {
 	value, err := cbor.Marshal(&f.Self)
 	if err != nil {
 		return merry.Prepend(err, "encode entry")
 	}
-	lease, _, err := f.Store.Grant(leaseTime)
-	if err != nil {
-		return err
+	if f.unused == 0 {
+		if f.unused, _, err = f.Store.Grant(leaseTime); err != nil {
+			return err
+		}
 	}
-	condition := platform.Condition{Key: key, Revision: item.Revision}
+	lease := f.unused
+	condition := platform.Condition{Key: key, Revision: revision}
 	write := platform.Write{Key: key, Value: value, Lease: lease}
-	if _, err := f.Store.Commit([]platform.Condition{condition}, []platform.Write{write}, nil); err != nil {
+	_, err = f.Store.Commit([]platform.Condition{condition}, []platform.Write{write}, nil)
+	if !errors.Is(err, platform.ErrConflict) {
+		f.unused = 0 // in use, ended, or perhaps in use
+	}
+	if err != nil {
 		return err
 	}
 	f.lease = lease
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -34,6 +34,12 @@
 	leastNodes    = 10 // among which the allowance of repeats is shared at least
 )
 
+// Where a configuration came from, in logs.
+const (
+	fromStore = "store"
+	fromPeer  = "peer"
+)
+
 // known is what the node knows of another one.
 type known struct {
 	carrier.Peer
@@ -121,7 +127,7 @@
 		Address: s.Target,
 		Version: n.Version,
 	}
-	n.hub = &carrier.Hub{Self: n.self, Server: n, Log: n.Log, Meet: n.meet}
+	n.hub = &carrier.Hub{Self: n.self, Server: n, Log: n.Log, Meet: n.Meet}
 	n.deliverer.Changed = n.hub.Announce
 	n.deliverer.Linger = min(longestLinger, s.Bounds.Drain/2)
 	n.forwarder = &forwarder.Forwarder{
@@ -172,53 +178,51 @@
 
 // meetSeeds asks the hosts in the settings before the store has answered.
 func (n *Node) meetSeeds() {
-	n.post(func() {
-		for _, address := range n.Settings.Seeds {
-			n.learn(carrier.Peer{Address: platform.PeerAddress(address, n.Settings.PeerPort)})
-		}
-		n.want()
-	})
+	seeds := make([]carrier.Peer, 0, len(n.Settings.Seeds))
+	for _, address := range n.Settings.Seeds {
+		seeds = append(seeds, carrier.Peer{Address: platform.PeerAddress(address, n.Settings.PeerPort)})
+	}
+	n.Meet(seeds)
 }
 
-// meet takes in nodes that other nodes know.
-func (n *Node) meet(peers []carrier.Peer) {
+// Meet takes in nodes that the store or other nodes know.
+func (n *Node) Meet(peers []carrier.Peer) {
 	n.post(func() {
+		changed := false
 		for _, peer := range peers {
-			n.learn(peer)
+			changed = n.learn(peer) || changed
+		}
+		if changed {
+			n.want()
 		}
-		n.want()
-	})
-}
-
-// Joined takes in a node's entry in the store.
-func (n *Node) Joined(peer carrier.Peer) {
-	n.post(func() {
-		n.learn(peer)
-		n.want()
 	})
 }
 
-func (n *Node) learn(peer carrier.Peer) {
+// learn takes in a node and reports whether anything of it is new.
+func (n *Node) learn(peer carrier.Peer) bool {
 	if peer.Address == "" || peer.Address == n.self.Address {
-		return
+		return false
 	}
 	k, ok := n.peers[peer.Address]
 	if !ok {
 		k = &known{}
 		n.peers[peer.Address] = k
 	}
-	if peer.Started >= k.Started {
-		k.Peer = peer
-	}
 	k.seen = time.Now()
 	n.most.Store(max(n.most.Load(), int64(len(n.peers)+1)))
+	if ok && peer.Started <= k.Started {
+		return false
+	}
+	k.Peer = peer
+	return true
 }
 
 // forget drops nodes that no link could be made to for a while.
 func (n *Node) forget(now time.Time) {
 	dropped := false
+	linked := n.hub.Linked()
 	for address, k := range n.peers {
-		if n.hub.Linked(address) {
+		if _, ok := linked[address]; ok {
 			k.seen = now
 			continue
 		}
@@ -246,10 +250,10 @@
 func (n *Node) Config(text []byte) {
 	table, err := platform.DecodeConfig(text)
 	if err != nil {
-		n.Log.Error("config: refused", zap.String("from", "store"), recorder.Err(err))
+		n.Log.Error("config: refused", zap.String("from", fromStore), recorder.Err(err))
 		return
 	}
-	n.post(func() { n.adopt(n.share(table), "store") })
+	n.post(func() { n.adopt(n.share(table), fromStore) })
 }
 
 // share returns a table with the content of the given one that has unchanged parts in
@@ -283,7 +287,7 @@
 			}
 			return
 		}
-		n.adopt(table, "peer")
+		n.adopt(table, fromPeer)
 	})
 }
 
@@ -298,7 +302,11 @@
 		zap.Uint64("version", table.Version),
 		zap.String("from", from),
 		zap.Int("routes", len(table.Routes)))
-	n.hub.Announce()
+	if from == fromStore {
+		n.hub.Announce()
+		return
+	}
+	n.hub.AnnounceNear()
 }
 
 // Since returns the update that leads another node from its version to the one in force.
