--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -196,3 +196,78 @@
 	assert.Assert(t, fresh.Void([]byte("waits"), 1))
 	assert.Assert(t, !fresh.Void([]byte("begun"), 1))
 }
+
+// startHubs starts hubs that all want links to all others.
+func startHubs(t *testing.T, number int) []*Hub {
+	t.Helper()
+	hubs := make([]*Hub, number)
+	wanted := make(map[string]Peer)
+	for i := range hubs {
+		hubs[i] = startHub(t, string(rune('a'+i)), &peer{serve: echo, given: make(chan string, 8)})
+		wanted[hubs[i].Self.Address] = hubs[i].Self
+	}
+	for _, h := range hubs {
+		h.Want(wanted)
+	}
+	return hubs
+}
+
+// TestOneLinkPerPair starts all nodes at once: each pair has one link, which carries calls
+// both ways, though both sides know one another.
+func TestOneLinkPerPair(t *testing.T) {
+	hubs := startHubs(t, 5)
+	time.Sleep(acceptWait + 400*time.Millisecond)
+	for _, h := range hubs {
+		h.mu.Lock()
+		all, dialed := len(h.all), 0
+		for l := range h.all {
+			if l.dialed {
+				dialed++
+			}
+		}
+		h.mu.Unlock()
+		assert.Equal(t, all, len(hubs)-1, h.Self.Node)
+		t.Logf("%s dialed %d", h.Self.Node, dialed)
+		for _, l := range h.Links() {
+			answer := l.Exchange(&Call{ID: []byte("x")}, nil, time.Second)
+			assert.Equal(t, answer.Outcome, Answered)
+		}
+	}
+}
+
+// TestBothDial lets both sides of a pair dial; the link that one side does not prefer is
+// closed in the end, and nothing is lost with it.
+func TestBothDial(t *testing.T) {
+	hubs := startHubs(t, 2)
+	for _, h := range hubs {
+		other := hubs[0]
+		if h == other {
+			other = hubs[1]
+		}
+		go func() { _ = h.connect(other.Self.Address) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, len(hubs[0].Links()), 1)
+	assert.Equal(t, hubs[0].Links()[0].dialed, !hubs[1].Links()[0].dialed)
+	time.Sleep(spareIdle + 500*time.Millisecond)
+	for _, h := range hubs {
+		h.mu.Lock()
+		assert.Equal(t, len(h.all), 1)
+		h.mu.Unlock()
+	}
+}
+
+// TestPeersAreAskedFor lets a node that knows one other learn of all.
+func TestPeersAreAskedFor(t *testing.T) {
+	hubs := startHubs(t, 4)
+	met := make(chan []Peer, 8)
+	newcomer := startHub(t, "z", &peer{serve: echo, given: make(chan string, 8)})
+	newcomer.Meet = func(peers []Peer) { met <- peers }
+	newcomer.Want(map[string]Peer{hubs[0].Self.Address: {}})
+	select {
+	case peers := <-met:
+		assert.Equal(t, len(peers), len(hubs))
+	case <-time.After(2 * time.Second):
+		t.Fatal("nobody was met")
+	}
+}
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -383,7 +383,7 @@
 	condition := platform.Condition{Key: key, Revision: revision}
 	write := platform.Write{Key: key, Value: value, Lease: lease}
 	_, err = f.Store.Commit([]platform.Condition{condition}, []platform.Write{write}, nil)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrRefused) {
 		f.unused = 0 // in use, ended, or perhaps in use
 	}
 	if err != nil {
