Ask before a call that must run once reaches its target, and spread the word of silent nodes

Ruled out: a node's own clock telling that it was frozen: it may answer too late. Change: a call that must not be repeated is confirmed by its sender when it has a slot; one that was not confirmed has not run and may go elsewhere. A node that gets no answer to a ping tells the others, which ask for themselves and send nothing there meanwhile. Repeats of clients' requests use half of the allowance; nested calls all of it.

--- a/internal/proxy/budgeter/budgeter.go
+++ b/internal/proxy/budgeter/budgeter.go
@@ -7,6 +7,7 @@
 const (
 	buckets = 10  // parts of the window
 	safety  = 0.8 // share of the allowance that a node spends
+	modest  = 0.5 // of that, the share for repeats without which a client may still come back
 )
 
 // Budget allows repeats up to a share of the requests in a sliding window and a fixed
@@ -40,8 +41,11 @@
 // Request counts a request for the service.
 func (b *Budget) Request(now time.Time) { b.at(now).requests++ }
 
-// Repeat spends one repeated arrival if the window allows it.
-func (b *Budget) Repeat(now time.Time) bool {
+// Repeat spends one repeated arrival if the window allows it. Nested says that it is for a
+// call of a running request. It answers the pattern in which all targets of a service shed
+// much of their work: a client that is turned away comes back at no cost to the budget,
+// while a nested call that fails takes its parent's work with it.
+func (b *Budget) Repeat(now time.Time, nested bool) bool {
 	current := b.at(now)
 	requests, repeats := 0, 0
 	for i := range b.parts {
@@ -50,7 +54,11 @@
 			repeats += b.parts[i].repeats
 		}
 	}
-	if float64(repeats+1) > safety*(b.Ratio*float64(requests)+b.Slack) {
+	allowance := safety * (b.Ratio*float64(requests) + b.Slack)
+	if !nested {
+		allowance *= modest
+	}
+	if float64(repeats+1) > allowance {
 		return false
 	}
 	current.repeats++
--- a/internal/proxy/budgeter/budgeter_test.go
+++ b/internal/proxy/budgeter/budgeter_test.go
@@ -20,7 +20,7 @@
 			b.Request(now)
 			requests = append(requests, now)
 			for range 2 {
-				if b.Repeat(now) {
+				if b.Repeat(now, true) {
 					repeats = append(repeats, now)
 				}
 			}
@@ -44,10 +44,26 @@
 	now := time.Unix(1000, 0)
 	spent := 0
 	for range 20 {
-		if b.Repeat(now) {
+		if b.Repeat(now, true) {
 			spent++
 		}
 	}
 	assert.Equal(t, spent, 4)
-	assert.Assert(t, b.Repeat(now.Add(12*time.Second)))
+	assert.Assert(t, b.Repeat(now.Add(12*time.Second), true))
+}
+
+// TestNestedCallsKeepTheirPart replays a service that sheds all it gets: repeats of clients'
+// requests, which come back by themselves, leave half of the allowance to nested calls.
+func TestNestedCallsKeepTheirPart(t *testing.T) {
+	b := Budget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	spent := map[bool]int{}
+	for i := range 100 {
+		nested := i >= 50
+		if b.Repeat(now, nested) {
+			spent[nested]++
+		}
+	}
+	assert.Equal(t, spent[false], 4)
+	assert.Equal(t, spent[true], 4)
 }
--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -157,33 +157,69 @@
 }
 
 // TestSilentLink lets a link fall silent while calls are at work. A call that may be
-// repeated is free to go elsewhere long before the link is closed; one that may not stays
-// until then.
+// repeated, and one that was not confirmed, is free to go elsewhere long before the link is
+// closed; one that may have reached the target stays until then.
 func TestSilentLink(t *testing.T) {
+	early := quietLimit + suspectAfter + 400*time.Millisecond
 	tests := map[string]struct {
-		idempotent  bool
-		least, most time.Duration
+		idempotent, confirmed bool
+		outcome               Outcome
+		least, most           time.Duration
 	}{
-		"may be repeated":     {true, quietLimit, quietLimit + suspectAfter + 400*time.Millisecond},
-		"may not be repeated": {false, pingTimeout, quietLimit + pingTimeout + 500*time.Millisecond},
+		"may be repeated": {true, false, Unknown, quietLimit, early},
+		"not confirmed":   {false, false, Refused, quietLimit, early},
+		"confirmed":       {false, true, Unknown, pingTimeout, quietLimit + pingTimeout + 500*time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			p := &peer{serve: func(*Call, func(*Answer)) {}, given: make(chan string, 8)}
+			ready := make(chan bool, 1)
+			p := &peer{given: make(chan string, 8)}
+			p.serve = func(call *Call, _ func(*Answer)) {
+				if test.confirmed {
+					go func() { ready <- call.Confirm() }()
+					return
+				}
+				ready <- false
+			}
 			_, link, g := linkThrough(t, p)
-			g.silence()
+			answers := make(chan *Answer, 1)
 			began := time.Now()
-			answer := link.Exchange(&Call{ID: []byte("a"), Idempotent: test.idempotent}, nil, 5*time.Second)
+			go func() {
+				answers <- link.Exchange(&Call{ID: []byte("a"), Idempotent: test.idempotent}, nil, 5*time.Second)
+			}()
+			assert.Equal(t, <-ready, test.confirmed)
+			g.silence()
+			answer := <-answers
 			spent := time.Since(began)
-			assert.Equal(t, answer.Outcome, Unknown)
+			assert.Equal(t, answer.Outcome, test.outcome)
 			assert.Assert(t, spent >= test.least && spent <= test.most, "%s", spent)
-			if test.idempotent {
-				assert.Assert(t, link.Suspect())
-			}
 		})
 	}
 }
 
+// TestNoLongerWanted lets a call get its slot after its sender gave it up.
+func TestNoLongerWanted(t *testing.T) {
+	calls := make(chan *Call, 1)
+	p := &peer{serve: func(call *Call, _ func(*Answer)) { calls <- call }, given: make(chan string, 8)}
+	_, link, _ := linkThrough(t, p)
+	answer := link.Exchange(&Call{ID: []byte("a")}, nil, 50*time.Millisecond)
+	assert.Equal(t, answer.Outcome, Refused)
+	assert.Assert(t, !(<-calls).Confirm())
+}
+
+// TestRumour tells a node that another one is silent: it asks for itself, and believes the
+// answer.
+func TestRumour(t *testing.T) {
+	near, link, g := linkThrough(t, &peer{serve: echo, given: make(chan string, 8)})
+	time.Sleep(2 * heardLately)
+	near.suspect("far", time.Now())
+	time.Sleep(100 * time.Millisecond)
+	assert.Assert(t, !link.Suspect(), "it has answered")
+	g.silence()
+	near.suspect("far", time.Now())
+	assert.Assert(t, link.Suspect())
+}
+
 // TestVoid settles an attempt over a fresh link after the first one fell silent.
 func TestVoid(t *testing.T) {
 	p := &peer{serve: func(*Call, func(*Answer)) {}, given: make(chan string, 8), voided: map[string]bool{"begun": false, "waits": true}}
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -237,7 +237,7 @@
 
 // newer is called when a peer has a newer configuration. It is asked for at once if it is
 // near or nobody near could be asked; the next check asks otherwise.
-func (h *Hub) newer(l *Link, _ uint64) {
+func (h *Hub) newer(l *Link) {
 	if l.Peer.Zone == h.Self.Zone {
 		h.fetch(l)
 		return
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -53,8 +53,8 @@
 	Peer Peer
 
 	dialed bool // by this node
+	hub    *Hub
 	server Server
-	newer  func(l *Link, version uint64) // called when the peer has a newer configuration
 	conn   net.Conn
 	reader *bufio.Reader
 	done   chan struct{}
@@ -66,6 +66,7 @@
 	calls   map[uint64]*pending
 	voids   map[uint64]chan bool
 	serving map[uint64]func()
+	asking  map[uint64]chan bool // calls of the peer that wait for its confirmation
 	closed  bool
 
 	state    atomic.Pointer[State]
@@ -74,19 +75,21 @@
 	openThen atomic.Int64 // of them, when the state was reported
 	heard    atomic.Int64 // Unix nanoseconds of the last frame
 	asked    atomic.Int64 // Unix nanoseconds of the ping that waits for an answer, or 0
-	suspect  atomic.Bool  // that ping waits for long
+	suspect  atomic.Bool  // that ping waits for long, or another node got no answer
+	silent   atomic.Bool  // that ping waits for long
 }
 
 func (h *Hub) newLink(conn net.Conn) *Link {
 	return &Link{
+		hub:     h,
 		server:  h.Server,
-		newer:   h.newer,
 		conn:    conn,
 		reader:  bufio.NewReaderSize(conn, readBuffer),
 		done:    make(chan struct{}),
 		calls:   make(map[uint64]*pending),
 		voids:   make(map[uint64]chan bool),
 		serving: make(map[uint64]func()),
+		asking:  make(map[uint64]chan bool),
 	}
 }
 
@@ -156,7 +159,7 @@
 func (l *Link) report(state *State) {
 	l.state.Store(state)
 	if state.Version > l.server.Version() {
-		l.newer(l, state.Version)
+		l.hub.newer(l)
 	}
 	l.openThen.Store(l.open.Load())
 	l.reported.Store(time.Now().UnixNano())
@@ -231,6 +234,10 @@
 		return l.receive(body)
 	case kindVoid, kindVoided:
 		return l.void(frameKind, body)
+	case kindReady, kindWanted:
+		return l.confirm(frameKind, body)
+	case kindSuspect:
+		return l.rumour(body)
 	}
 	return nil
 }
@@ -274,6 +281,9 @@
 	l.mu.Lock()
 	l.serving[number] = nil
 	l.mu.Unlock()
+	if !frame.Call.Idempotent {
+		frame.Call.Confirm = func() bool { return l.ask(number) }
+	}
 	giveUp := l.server.Serve(frame.Call, func(answer *Answer) {
 		l.mu.Lock()
 		delete(l.serving, number)
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -25,6 +25,9 @@
 	kindUpdate
 	kindVoid
 	kindVoided
+	kindReady   // a call has a slot; its sender is asked whether it is still wanted
+	kindWanted  // the answer
+	kindSuspect // another node does not answer
 )
 
 // Call is a request on its way to a target.
@@ -47,6 +50,10 @@
 	Host       []byte
 	Headers    []Header
 	Body       []byte
+
+	// Confirm asks the node that sent the call, once it has a slot, whether it is still
+	// wanted. Only then may it reach the target. If it is nil, the call is wanted.
+	Confirm func() bool `cbor:"-"`
 }
 
 // Outcome says what became of a call.
@@ -133,6 +140,17 @@
 	Number uint64
 }
 
+type wantedFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Wanted bool
+}
+
+type suspectFrame struct {
+	_    struct{} `cbor:",toarray"`
+	Node string
+}
+
 type voidFrame struct {
 	_       struct{} `cbor:",toarray"`
 	Number  uint64
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -291,7 +291,7 @@
 		v.timer.Stop()
 	}
 	d.Meter.Observe("deliver_wait", started.Sub(v.Arrived))
-	result := d.attempt(v, started)
+	result := d.attempt(v)
 	now := time.Now()
 	held := time.Duration(0)
 	if result.Outcome == carrier.Answered {
@@ -331,7 +331,11 @@
 	d.failing += failureWeight * (sample - d.failing)
 }
 
-func (d *Deliverer) attempt(v *delivery, now time.Time) *carrier.Answer {
+func (d *Deliverer) attempt(v *delivery) *carrier.Answer {
+	if v.call.Confirm != nil && !v.call.Confirm() {
+		return &carrier.Answer{Outcome: carrier.Refused, Reason: "no longer wanted"}
+	}
+	now := time.Now()
 	d.mu.Lock()
 	instance := d.target.ID
 	reason := d.closedBy(now)
--- a/internal/proxy/deliverer/deliverer_test.go
+++ b/internal/proxy/deliverer/deliverer_test.go
@@ -287,3 +287,17 @@
 		})
 	}
 }
+
+// TestNoLongerWanted has a slot for a call whose sender has given it up meanwhile.
+func TestNoLongerWanted(t *testing.T) {
+	s := startTarget(t, say(whole("r", "yes"), true))
+	d := newDeliverer(s, 1)
+	call := newCall("r", false)
+	call.Confirm = func() bool { return false }
+	answer := serve(d, call)
+	assert.Equal(t, answer.Outcome, carrier.Refused)
+	assert.Equal(t, s.arrived.Load(), int64(0))
+	assert.Equal(t, d.Busy(), 0)
+	call.Confirm = func() bool { return true }
+	assert.Equal(t, serve(d, call).Outcome, carrier.Answered)
+}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -119,10 +119,10 @@
 	f.budget(service).Request(now)
 }
 
-func (f *Forwarder) mayRepeat(service string, now time.Time) bool {
+func (f *Forwarder) mayRepeat(p *pass, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.budget(service).Repeat(now)
+	return f.budget(p.service).Repeat(now, p.nested)
 }
 
 // spent estimates how much of a client's patience earlier attempts have used, and 0 for a
@@ -209,7 +209,7 @@
 		}
 		return p.giveUp(), true
 	}
-	if p.arrivals > 0 && (p.arrivals >= p.Route.MaxAttempts || !f.mayRepeat(p.service, now)) {
+	if p.arrivals > 0 && (p.arrivals >= p.Route.MaxAttempts || !f.mayRepeat(p, now)) {
 		p.reason += "; no more attempts"
 		return p.giveUp(), true
 	}
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -109,9 +109,10 @@
 		return budgeter.Budget{Ratio: 0.2, Slack: 50 / nodes, Window: 10 * time.Second}
 	}
 	now := time.Unix(1000, 0)
-	assert.Assert(t, f.mayRepeat("s", now))
+	p := &pass{service: "s", nested: true}
+	assert.Assert(t, f.mayRepeat(p, now))
 	nodes = 50
-	assert.Assert(t, !f.mayRepeat("s", now))
+	assert.Assert(t, !f.mayRepeat(p, now))
 }
 
 func TestClientLeaves(t *testing.T) {
