Let both sides of a pair prefer the same of several links

Cause: TestBothDial did not end in one run of the carrier's tests and failed in a later one: a side that had dialed twice had no rule between these two links, so each side could prefer another one and keep both alive with pings; the hang was the test's own, which failed while it held the lock that the clean-up needs. Change: the side that dials draws a token, and the greater one decides; the test counts under the lock and judges outside.

--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -248,22 +248,20 @@
 	return hubs
 }
 
+// count returns the number of links that are up, preferred or not.
+func (h *Hub) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.all)
+}
+
 // TestOneLinkPerPair starts all nodes at once: each pair has one link, which carries calls
 // both ways, though both sides know one another.
 func TestOneLinkPerPair(t *testing.T) {
 	hubs := startHubs(t, 5)
 	time.Sleep(acceptWait + 400*time.Millisecond)
 	for _, h := range hubs {
-		h.mu.Lock()
-		all, dialed := len(h.all), 0
-		for l := range h.all {
-			if l.dialed {
-				dialed++
-			}
-		}
-		h.mu.Unlock()
-		assert.Equal(t, all, len(hubs)-1, h.Self.Node)
-		t.Logf("%s dialed %d", h.Self.Node, dialed)
+		assert.Equal(t, h.count(), len(hubs)-1, h.Self.Node)
 		for _, l := range h.Links() {
 			answer := l.Exchange(&Call{ID: []byte("x")}, nil, time.Second)
 			assert.Equal(t, answer.Outcome, Answered)
@@ -287,9 +285,7 @@
 	assert.Equal(t, hubs[0].Links()[0].dialed, !hubs[1].Links()[0].dialed)
 	time.Sleep(spareIdle + 500*time.Millisecond)
 	for _, h := range hubs {
-		h.mu.Lock()
-		assert.Equal(t, len(h.all), 1)
-		h.mu.Unlock()
+		assert.Equal(t, h.count(), 1)
 	}
 }
 
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -153,11 +153,15 @@
 
 // better reports whether one of two links to a node goes before the other: the one to its
 // later start, and of those to the same start the one that the later of both nodes dialed.
+// Both sides choose the same, so the other links fall idle.
 func (h *Hub) better(a, b *Link) bool {
 	if a.Peer.Started != b.Peer.Started {
 		return a.Peer.Started > b.Peer.Started
 	}
-	return a.dialed != b.dialed && a.dialed == h.dialsFirst(a.Peer)
+	if a.dialed != b.dialed {
+		return a.dialed == h.dialsFirst(a.Peer)
+	}
+	return a.token > b.token
 }
 
 // Peers returns all nodes that links are wanted to.
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -52,7 +53,8 @@
 type Link struct {
 	Peer Peer
 
-	dialed bool // by this node
+	dialed bool   // by this node
+	token  uint64 // the same on both sides
 	hub    *Hub
 	server Server
 	conn   net.Conn
@@ -96,6 +98,8 @@
 // greet exchanges the first frames on a link that this node dialed. It returns the peers
 // that the other node knows, if ask says so.
 func (l *Link) greet(own *hello) ([]Peer, error) {
+	own.Token = rand.Uint64()
+	l.token = own.Token
 	if err := l.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, err
 	}
@@ -119,6 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.token = other.Token
 	if other.Ask {
 		own.Peers = peers()
 	}
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -118,6 +118,7 @@
 	_     struct{} `cbor:",toarray"`
 	Self  Peer
 	State State
+	Token uint64 // from the node that dialed: drawn at random, tells links apart on both sides
 	Ask   bool   // from the node that dialed: it wants to know the other's peers
 	Once  bool   // from the node that dialed: the link is for one question and carries no calls
 	Peers []Peer // if they were asked for
