Read the configuration 0.4 s after a start instead of 1 s

Cause: after a loss of power of all hosts nobody has a configuration, and each node waited for a peer to send one for 1 s. Change: 0.4 s, in which links come up (the entries in the store outlast the loss).

--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -29,7 +29,7 @@
 	endLimit     = 300 * time.Millisecond // for removing the own entry; it lapses otherwise
 	firstPause   = 100 * time.Millisecond // after a failed call; doubles
 	longPause    = time.Second
-	settleTime   = time.Second             // after the start, for links to come up and peers to send their configuration
+	settleTime   = 400 * time.Millisecond  // after the start, for links to come up and peers to send their configuration
 	readers      = 1                       // nodes of a failure domain that follow the store
 	readerQuiet  = 1300 * time.Millisecond // of silence after which a reader is not relied on
 	standInAfter = 300 * time.Millisecond  // without a reader, for each node that goes before, until the next one reads
