Look for targets among a service's links only, and split large files

Change: the hub keeps its links by service; picking, responses and the own entry have files of their own.

--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -32,7 +32,8 @@
 	mu       sync.Mutex
 	wanted   map[string]*dialing // by address
 	all      map[*Link]struct{}
-	links    []*Link // the one to use for each node; replaced, never changed
+	links    []*Link            // the one to use for each node; replaced, never changed
+	services map[string][]*Link // the same, by the service of the target beside the node
 	closed   bool
 	asked    int       // greetings in which peers were asked for
 	fetching uint64    // newest version that was asked for
@@ -94,7 +95,7 @@
 		_ = l.run() // ends when the peer has its answer
 		return
 	}
-	h.serve(l, nil)
+	_ = h.serve(l, nil) // the reason is logged; the side that dialed tries again
 }
 
 // serve uses a link until it ends.
@@ -149,6 +150,10 @@
 	}
 	slices.SortFunc(links, func(a, b *Link) int { return cmp.Compare(a.Peer.Node, b.Peer.Node) })
 	h.links = links
+	h.services = make(map[string][]*Link)
+	for _, l := range links {
+		h.services[l.Peer.Service] = append(h.services[l.Peer.Service], l)
+	}
 }
 
 // better reports whether one of two links to a node goes before the other: the one to its
@@ -185,6 +190,14 @@
 	return h.links
 }
 
+// LinksTo returns the links to nodes beside targets of a service. The slice must not be
+// changed.
+func (h *Hub) LinksTo(service string) []*Link {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.services[service]
+}
+
 // Linked returns the addresses to which a link is up.
 func (h *Hub) Linked() map[string]struct{} {
 	links := h.Links()
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -10,8 +10,6 @@
 	"go.uber.org/zap"
 
 	"clementinerock/internal/node/recorder"
-	"clementinerock/internal/proxy/admitter"
-	"clementinerock/internal/proxy/balancer"
 	"clementinerock/internal/proxy/budgeter"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/matcher"
@@ -142,13 +140,6 @@
 	return time.Duration((1+leastPatience)/2*float64(longest)) - left
 }
 
-// place is one node with a target of the service.
-type place struct {
-	link *carrier.Link // nil: this host
-	node string
-	full bool // has just said that no slot is free
-}
-
 // pass is the state of one request on its way.
 type pass struct {
 	*Request
@@ -347,85 +338,3 @@
 	}
 	return link.Void(call.ID, call.Attempt)
 }
-
-// pick chooses the next place for a request among those not asked yet.
-func (f *Forwarder) pick(p *pass) (place, bool) {
-	var places []place
-	var candidates []balancer.Candidate
-	if p.service == f.Service && !p.wasAsked(f.Hub.Self.Node) {
-		if state := f.Local.State(); state.Serving {
-			places = append(places, place{node: f.Hub.Self.Node})
-			c := p.candidate(&state)
-			c.Near = true
-			candidates = append(candidates, c)
-		}
-	}
-	for _, l := range f.Hub.Links() {
-		if l.Peer.Service != p.service || p.wasAsked(l.Peer.Node) {
-			continue
-		}
-		state, open, openThen, age := l.State()
-		if !state.Serving {
-			continue
-		}
-		places = append(places, place{link: l, node: l.Peer.Node})
-		c := p.candidate(&state)
-		c.Near = l.Peer.Zone == f.Zone
-		c.Age, c.Open, c.OpenThen = age, open, openThen
-		c.Suspect = l.Suspect()
-		candidates = append(candidates, c)
-	}
-	if !p.nested {
-		places, candidates = p.hopeful(places, candidates)
-	}
-	best := balancer.Pick(candidates, rand.Float64)
-	if best < 0 {
-		return place{}, false
-	}
-	places[best].full = candidates[best].KnownFull()
-	return places[best], true
-}
-
-// hopeful leaves out places that would turn the request away, and notes when the first of
-// them is likely to take it.
-func (p *pass) hopeful(places []place, candidates []balancer.Candidate) ([]place, []balancer.Candidate) {
-	longest := admitter.FreshWait(p.Route.Aim, p.Route.Priority)
-	kept := 0
-	for i := range candidates {
-		if c := &candidates[i]; c.Hopeless(longest) {
-			p.reason = "all full"
-			if wait := c.Expected(); p.retry == 0 || wait < p.retry {
-				p.retry = wait
-			}
-			continue
-		}
-		places[kept], candidates[kept] = places[i], candidates[i]
-		kept++
-	}
-	return places[:kept], candidates[:kept]
-}
-
-// candidate returns what a target's report says for this request.
-func (p *pass) candidate(state *carrier.State) balancer.Candidate {
-	wait := 0
-	if len(state.Waits) > 0 {
-		wait = state.Waits[min(max(p.Route.Priority, 0), len(state.Waits)-1)]
-	}
-	return balancer.Candidate{
-		Wait:    time.Duration(wait) * time.Millisecond,
-		Slots:   state.Slots,
-		Busy:    state.InUse + state.Waiting,
-		Mean:    state.Mean,
-		Failing: state.Failing,
-		Cold:    state.Cold,
-	}
-}
-
-func (p *pass) wasAsked(node string) bool {
-	for _, asked := range p.asked {
-		if asked == node {
-			return true
-		}
-	}
-	return false
-}
