Let nested calls go first only within their share, before more urgent requests

Ruled out: waits by priority and refusals of returned requests: the line of direct requests was short, it got no slots. Change: a nested call carries the priority of the request that it is made for. Once nested calls have had half of the slot time lately, more urgent requests go first, unless the call has used half of its time. Parents then hold their slots for longer, and fewer new ones are let in where they run.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -25,20 +25,20 @@
 
 // Class is what sets jobs apart.
 type Class struct {
-	Priority int  // 0 goes first
+	Priority int  // 0 goes first; of a nested call, that of the request which it is made for
 	Nested   bool // made by a running request, which holds its own slot meanwhile
 	Returned bool // turned away before
 }
 
-// rank orders classes; lower goes first. A nested call goes before all else, since a slot
-// elsewhere is held until it ends, and the work done there is lost if it is refused. Of
-// equals in priority, one that was turned away before goes last: its aim is lost mostly,
+// rank orders classes; lower goes first. A nested call goes before all else, but before more
+// urgent requests only while such calls keep to their share: a slot elsewhere is held until
+// it ends, and the work done there is lost if it is refused. Of equals in priority, one that was turned away before goes last: its aim is lost mostly,
 // and if it went first, it would make the others late in turn.
 func (c Class) rank() int {
 	if c.Nested {
-		return 0
+		return nestedRank
 	}
-	rank := 1 + 2*c.Priority
+	rank := 1 + ranksPerPriority*c.Priority
 	if c.Returned {
 		rank++
 	}
@@ -69,31 +69,40 @@
 
 // Settings of a queue.
 const (
-	startCost   = 50 * time.Millisecond // of a job, before any was measured
-	costWeight  = 0.1                   // of a new sample in the mean time in a slot
-	lateShare   = 0.35                  // of a mean time in a slot that a job may wait for which the aim is lost anyway
-	freshShare  = 0.15                  // of its goal that a job may wait
-	returnShare = 0.2                   // of its goal that a job may wait that was turned away before
-	errorWeight = 0.05                  // of a new sample in the ratio of actual to expected waits
-	leastError  = 0.5                   // bounds of a sample of that ratio
-	mostError   = 6.0
-	maxWaitings = 8                     // waiting jobs per slot
-	minRetry    = 30 * time.Millisecond // least pause that a refused caller is told
-	ranks       = 16                    // classes that are kept apart
-	leastUrgent = 2                     // priority from which on a job may wait for freshShare only; more urgent ones for multiples
+	startCost        = 50 * time.Millisecond // of a job, before any was measured
+	costWeight       = 0.1                   // of a new sample in the mean time in a slot
+	lateShare        = 0.35                  // of a mean time in a slot that a job may wait for which the aim is lost anyway
+	freshShare       = 0.15                  // of its goal that a job may wait
+	returnShare      = 0.2                   // of its goal that a job may wait that was turned away before
+	errorWeight      = 0.05                  // of a new sample in the ratio of actual to expected waits
+	leastError       = 0.5                   // bounds of a sample of that ratio
+	mostError        = 6.0
+	maxWaitings      = 8                     // waiting jobs per slot
+	minRetry         = 30 * time.Millisecond // least pause that a refused caller is told
+	ranks            = 16                    // classes that are kept apart
+	nestedRank       = 0
+	ranksPerPriority = 2                      // fresh requests and those that return
+	nestedShare      = 0.5                    // of the slot time, beyond which nested calls don't go first
+	usageHalf        = 500 * time.Millisecond // in which slot time given counts half
+	hurryShare       = 0.5                    // of the time that it has, after which a nested call goes first all the same
+	leastUrgent      = 2                      // priority from which on a job may wait for freshShare only; more urgent ones for multiples
 )
 
 // Queue admits jobs up to the number of slots; others wait in order of their rank and
 // arrival if they are likely to be served in time. It answers the load pattern of a
 // crest: more arrives than the slots can do. A line that is bounded by the aim keeps all
 // slots busy and serves who is let in within the aim; who would come too late is told at
-// once when to return. The zero value has no slots and refuses everything.
+// once when to return. It also answers the one in which nested calls of a less urgent kind of
+// request alone could fill the slots: they go first only within their share, so their parents
+// hold slots for longer and fewer new ones are let in where these run. The zero value has no
+// slots and refuses everything.
 type Queue struct {
 	Slots int
 	InUse int
 
 	lines   [ranks][]*Job
 	waiting int
+	usage   usage
 	mean    [ranks]time.Duration // time in a slot by rank
 	overall time.Duration
 	error   [ranks]float64 // actual waits as a multiple of the expected ones
@@ -144,6 +153,7 @@
 // to be taken.
 func (q *Queue) Offer(job *Job, now time.Time) (admitted bool, retry time.Duration) {
 	job.rank = job.Class.rank()
+	q.usage.fade(now)
 	if q.Free() {
 		q.start(job)
 		return true, 0
@@ -163,7 +173,11 @@
 // expected returns how long a new job of a rank is likely to wait.
 func (q *Queue) expected(rank int) time.Duration {
 	var work time.Duration
-	for r := 0; r <= rank; r++ {
+	first := nestedRank
+	if q.yields(rank) {
+		first++
+	}
+	for r := first; r <= rank; r++ {
 		work += time.Duration(len(q.lines[r])) * q.cost(r)
 	}
 	slots := max(q.Slots, 1)
@@ -214,6 +228,7 @@
 
 // Fill gives free slots to waiting jobs.
 func (q *Queue) Fill(now time.Time) {
+	q.usage.fade(now)
 	for q.InUse < q.Slots && q.waiting > 0 {
 		job := q.pop(now)
 		if job == nil {
@@ -241,27 +256,57 @@
 func (q *Queue) start(job *Job) {
 	job.state = running
 	q.InUse++
+	q.usage.add(job.rank, q.cost(job.rank))
 	job.Start()
 }
 
 // pop takes the next job out of its line and refuses those that would end too late.
 func (q *Queue) pop(now time.Time) *Job {
-	for r := range q.lines {
-		for len(q.lines[r]) > 0 {
-			job := q.lines[r][0]
-			q.lines[r][0] = nil
-			q.lines[r] = q.lines[r][1:]
-			q.waiting--
-			if now.Before(job.Deadline) {
-				return job
-			}
-			job.state = ended
-			job.Refuse(minRetry)
+	for q.waiting > 0 {
+		r := q.next(now)
+		job := q.lines[r][0]
+		q.lines[r][0] = nil
+		q.lines[r] = q.lines[r][1:]
+		q.waiting--
+		if now.Before(job.Deadline) {
+			return job
 		}
+		job.state = ended
+		job.Refuse(minRetry)
 	}
 	return nil
 }
 
+// next returns the rank whose line is served next. Some line holds a job.
+func (q *Queue) next(now time.Time) int {
+	first := 0
+	for len(q.lines[first]) == 0 {
+		first++
+	}
+	if first != nestedRank {
+		return first
+	}
+	nested := q.lines[nestedRank][0]
+	if now.Sub(nested.Arrived) > time.Duration(hurryShare*float64(nested.Deadline.Sub(nested.Arrived))) {
+		return first
+	}
+	for r := nestedRank + 1; r < ranks && q.yields(r); r++ {
+		if len(q.lines[r]) > 0 {
+			return r
+		}
+	}
+	return first
+}
+
+// yields reports whether the nested call that waits for longest goes after the jobs of a
+// rank: it is made for a less urgent request, and such calls have had their share.
+func (q *Queue) yields(rank int) bool {
+	if rank == nestedRank || len(q.lines[nestedRank]) == 0 || !q.usage.beyondShare() {
+		return false
+	}
+	return (rank-1)/ranksPerPriority < q.lines[nestedRank][0].Priority
+}
+
 // Done ends a running job that held its slot for so long. A sample of 0 teaches nothing.
 func (q *Queue) Done(job *Job, held time.Duration, now time.Time) {
 	if job.state != running {
--- a/internal/proxy/admitter/admitter_test.go
+++ b/internal/proxy/admitter/admitter_test.go
@@ -1,8 +1,10 @@
 package admitter
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +46,8 @@
 	refused time.Duration
 	served  bool
 	denied  bool
+	limit   time.Duration             // limit, if 0
+	then    func(time.Duration) *load // returns a job that follows the end of this one
 }
 
 // replay offers jobs at their times to a queue.
@@ -53,22 +57,30 @@
 	var now time.Duration
 	running := &ends{}
 	q := &Queue{Slots: slots}
+	follow := func(next *load) {
+		at, _ := slices.BinarySearchFunc(jobs, next.arrives, func(j *load, at time.Duration) int { return cmp.Compare(j.arrives, at) })
+		jobs = slices.Insert(jobs, at, next)
+	}
 	finish := func(until time.Duration) {
 		for running.Len() > 0 && (*running)[0].at <= until {
 			e := heap.Pop(running).(end)
 			now = e.at
 			e.job.ended = now
 			e.job.served = true
+			if e.job.then != nil {
+				follow(e.job.then(now))
+			}
 			q.Done(&e.job.Job, now-e.job.began, start.Add(now))
 		}
 	}
-	for _, j := range jobs {
-		finish(j.arrives)
+	for i := 0; i < len(jobs); i++ {
+		finish(jobs[i].arrives)
+		j := jobs[i]
 		now = j.arrives
 		j.Arrived = start.Add(now)
 		j.Goal = goal
 		j.Aim = j.Arrived.Add(goal)
-		j.Deadline = j.Arrived.Add(limit)
+		j.Deadline = j.Arrived.Add(cmp.Or(j.limit, limit))
 		j.Start = func() {
 			j.began = now
 			heap.Push(running, end{at: now + work(), job: j})
@@ -190,6 +202,51 @@
 	assert.Assert(t, denied*50 < len(jobs), "%d of %d turned away", denied, len(jobs))
 }
 
+// TestNestedCallsOfLessUrgentWork replays parents elsewhere whose nested calls alone could
+// fill the slots, each making the next call some time after the last one ended, beside more
+// urgent requests that ask for 60% of the slots: neither starves the other.
+func TestNestedCallsOfLessUrgentWork(t *testing.T) {
+	const (
+		parents = 24
+		pause   = 140 * time.Millisecond // between two calls of a parent
+		least   = 40                     // parents' calls a second that are served
+	)
+	random := rand.New(rand.NewPCG(11, 12))
+	calls, late := 0, 0
+	var call func(at time.Duration) *load
+	call = func(at time.Duration) *load {
+		j := &load{arrives: at, limit: 500 * time.Millisecond, Job: Job{Class: Class{Nested: true, Priority: 2}}}
+		j.then = func(ended time.Duration) *load {
+			calls++
+			if ended-at > j.limit {
+				late++
+			}
+			next := call(ended + time.Duration((0.5+random.Float64())*float64(pause)))
+			if next.arrives > length {
+				next.then = nil
+			}
+			return next
+		}
+		return j
+	}
+	direct := arrivals(random, 60, func() Class { return Class{Priority: 1} })
+	jobs := slices.Clone(direct)
+	for range parents {
+		jobs = append(jobs, call(time.Duration(random.Float64()*float64(pause))))
+	}
+	slices.SortFunc(jobs, func(a, b *load) int { return cmp.Compare(a.arrives, b.arrives) })
+	replay(t, worker(random), jobs)
+	served := 0
+	for _, j := range direct {
+		if j.served {
+			served++
+		}
+	}
+	assert.Assert(t, served*100 > len(direct)*75, "%d of %d urgent ones served", served, len(direct))
+	assert.Assert(t, calls > least*int(length.Seconds()), "%d calls served", calls)
+	assert.Assert(t, late*100 < calls, "%d of %d calls late", late, calls)
+}
+
 func TestRemoveAndFlush(t *testing.T) {
 	now := time.Unix(1000, 0)
 	refused := 0
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -36,7 +36,7 @@
 	ID         []byte   // of the request, as its client sent it
 	Attempt    uint64   // tells apart deliveries of one request
 	Service    string
-	Priority   int           // 0 goes first
+	Priority   int           // 0 goes first; of a nested call, that of the request which it is made for
 	Nested     bool          // made by a target while it runs another request
 	Returned   bool          // its client was turned away before
 	Eager      bool          // to be refused unless a slot is free
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -46,8 +46,8 @@
 	down     time.Time // until when the target is taken to be unreachable
 	idle     []*conn
 	attempts deduper.Deduper
-	failing  float64        // share of recent calls
-	running  map[string]int // calls at work in the target, by request id
+	failing  float64         // share of recent calls
+	running  map[string]work // by request id
 }
 
 // delivery is one call on its way.
@@ -260,28 +260,44 @@
 	}
 }
 
-// Runs reports whether the target runs a request from whose id another id was derived by
-// adding to its end.
-func (d *Deliverer) Runs(derived []byte) bool {
+// Parent returns the priority of the request that the target runs from whose id another id
+// was derived by adding to its end, and whether there is one.
+func (d *Deliverer) Parent(derived []byte) (priority int, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id := range d.running {
+	for id, work := range d.running {
 		if len(id) < len(derived) && id == string(derived[:len(id)]) {
-			return true
+			return work.priority, true
 		}
 	}
-	return false
+	return 0, false
 }
 
-// mark counts a request that the target runs, or no longer runs.
-func (d *Deliverer) mark(id []byte, change int) {
+// work is a request that the target runs.
+type work struct {
+	runs     int
+	priority int
+}
+
+// mark takes in that the target runs a request, once more.
+func (d *Deliverer) mark(call *carrier.Call) {
 	if d.running == nil {
-		d.running = make(map[string]int)
+		d.running = make(map[string]work)
 	}
-	d.running[string(id)] += change
-	if d.running[string(id)] <= 0 {
-		delete(d.running, string(id))
+	id := string(call.ID)
+	d.running[id] = work{runs: d.running[id].runs + 1, priority: call.Priority}
+}
+
+// unmark takes in that a run of a request has ended.
+func (d *Deliverer) unmark(call *carrier.Call) {
+	id := string(call.ID)
+	left := d.running[id]
+	left.runs--
+	if left.runs <= 0 {
+		delete(d.running, id)
+		return
 	}
+	d.running[id] = left
 }
 
 // run hands a call that has a slot to the target.
--- a/internal/proxy/deliverer/handover.go
+++ b/internal/proxy/deliverer/handover.go
@@ -20,12 +20,12 @@
 	}
 	d.mu.Lock()
 	v.conn = c
-	d.mark(v.call.ID, 1)
+	d.mark(v.call)
 	gaveUp := v.gaveUp
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
-		d.mark(v.call.ID, -1)
+		d.unmark(v.call)
 		d.mu.Unlock()
 	}()
 	if gaveUp {
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -77,8 +77,9 @@
 type Local interface {
 	Serve(call *carrier.Call, answer func(*carrier.Answer)) func()
 	State() carrier.State
-	// Runs reports whether the target runs a request from which an id was derived.
-	Runs(derived []byte) bool
+	// Parent returns the priority of the request that the target runs from which an id was
+	// derived, and whether there is one.
+	Parent(derived []byte) (priority int, ok bool)
 }
 
 // Forwarder sends requests to targets, on this host or beside other nodes.
@@ -146,6 +147,7 @@
 	service  string
 	end      time.Time
 	aim      time.Time
+	priority int
 	nested   bool
 	returned bool
 	node     string   // last one that was asked
@@ -161,10 +163,13 @@
 func (f *Forwarder) Forward(request *Request) Result {
 	limit := min(request.Left, request.Route.Timeout)
 	p := &pass{
-		Request: request,
-		service: request.Route.Choose(rand.Float64()),
-		end:     request.Arrived.Add(limit),
-		nested:  f.Local.Runs(request.ID),
+		Request:  request,
+		service:  request.Route.Choose(rand.Float64()),
+		end:      request.Arrived.Add(limit),
+		priority: request.Route.Priority,
+	}
+	if priority, ok := f.Local.Parent(request.ID); ok {
+		p.nested, p.priority = true, priority
 	}
 	spent := f.spent(request.Route, request.Left)
 	aim := request.Route.Aim - spent
@@ -288,7 +293,7 @@
 		ID:         p.ID,
 		Attempt:    p.attempt,
 		Service:    p.service,
-		Priority:   p.Route.Priority,
+		Priority:   p.priority,
 		Nested:     p.nested,
 		Returned:   p.returned,
 		Idempotent: p.Route.Idempotent,
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -38,7 +38,9 @@
 
 func (s *scripted) State() carrier.State { return carrier.State{Serving: true, Slots: 4} }
 
-func (s *scripted) Runs(derived []byte) bool { return len(derived) > 0 && derived[0] == 'p' }
+func (s *scripted) Parent(derived []byte) (int, bool) {
+	return 1, len(derived) > 0 && derived[0] == 'p'
+}
 
 func newForwarder(local *scripted) *Forwarder {
 	return &Forwarder{
--- a/internal/proxy/forwarder/pick.go
+++ b/internal/proxy/forwarder/pick.go
@@ -58,7 +58,7 @@
 // hopeful leaves out places that would turn the request away, and notes when the first of
 // them is likely to take it.
 func (p *pass) hopeful(places []place, candidates []balancer.Candidate) ([]place, []balancer.Candidate) {
-	longest := admitter.FreshWait(p.Route.Aim, p.Route.Priority)
+	longest := admitter.FreshWait(p.Route.Aim, p.priority)
 	kept := 0
 	for i := range candidates {
 		if c := &candidates[i]; c.Hopeless(longest) {
@@ -78,7 +78,7 @@
 func (p *pass) candidate(state *carrier.State) balancer.Candidate {
 	wait := 0
 	if len(state.Waits) > 0 {
-		wait = state.Waits[min(max(p.Route.Priority, 0), len(state.Waits)-1)]
+		wait = state.Waits[min(max(p.priority, 0), len(state.Waits)-1)]
 	}
 	return balancer.Candidate{
 		Wait:    time.Duration(wait) * time.Millisecond,
