Count a request that a target leaves hanging as a failure of the target

Cause: the share of failures that other nodes are told took in what a target shed or broke off, not what it left without an answer until the time was up; its mean time in a slot is that of answered calls only. A target that hangs half of its requests looked sound. Ruled out: counting all that ran out of time: a call may have had too little of it, so only those with four mean times in a slot count. Change: judge takes them in.

--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -20,6 +20,7 @@
 	leastLeft     = 10 * time.Millisecond  // below which a target is not bothered
 	retryConnect  = 250 * time.Millisecond // between tries to reach a target that refused a connection
 	failureWeight = 0.05                   // of one call in the share of failures
+	ampleTimes    = 4                      // mean times in a slot, in which nearly all calls end
 )
 
 // Meter takes in measurements.
@@ -315,7 +316,7 @@
 	}
 	d.mu.Lock()
 	if !v.gaveUp {
-		d.judge(result.Outcome)
+		d.judge(result.Outcome, v.call.Left)
 	}
 	d.queue.Done(&v.Job, held, now)
 	result.Load = d.state(now)
@@ -334,12 +335,19 @@
 	v.answer(result)
 }
 
-// judge keeps the share of calls that the target itself did not answer.
-func (d *Deliverer) judge(outcome carrier.Outcome) {
+// judge keeps the share of calls that the target itself did not answer. One that had ample
+// time counts as failed if the time ran out: a target may leave requests hanging while its
+// health probe and its other answers are good.
+func (d *Deliverer) judge(outcome carrier.Outcome, given time.Duration) {
 	sample := 0.0
 	switch outcome {
 	case carrier.Shed, carrier.Failed:
 		sample = 1
+	case carrier.Expired:
+		if given < ampleTimes*d.queue.Load().Mean {
+			return
+		}
+		sample = 1
 	case carrier.Answered:
 	default:
 		return
--- a/internal/proxy/deliverer/deliverer_test.go
+++ b/internal/proxy/deliverer/deliverer_test.go
@@ -301,3 +301,24 @@
 	call.Confirm = func() bool { return true }
 	assert.Equal(t, serve(d, call).Outcome, carrier.Answered)
 }
+
+// TestHangingTarget replays a target that leaves half of its requests without an answer
+// while the others are answered at once: other nodes are told that it fails.
+func TestHangingTarget(t *testing.T) {
+	var requests atomic.Int64
+	s := startTarget(t, func(conn net.Conn, request *http.Request) bool {
+		if requests.Add(1)%2 == 0 {
+			time.Sleep(time.Second)
+			return false
+		}
+		_, _ = io.WriteString(conn, whole(request.Header.Get("Clementinerock-Request-Id"), "yes"))
+		return true
+	})
+	d := newDeliverer(s, 1)
+	for i := range 8 {
+		call := newCall(fmt.Sprint("r", i), true)
+		call.Left = 250 * time.Millisecond
+		serve(d, call)
+	}
+	assert.Assert(t, d.State().Failing > 3*failureWeight, "%v", d.State().Failing)
+}
