Keep few links beyond the failure domain, and bound nested calls only while others starve

Change: a node keeps links to all of its failure domain and to 16 nodes for each service beyond it, chosen by a hash of both names, and accepts others; nodes without a link are forgotten after 2 minutes. Nested calls give way only while over 0.6 of the direct jobs are refused, and expect the waits of the most urgent. The dump says which nodes are suspect.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -31,7 +31,7 @@
 }
 
 // rank orders classes; lower goes first. A nested call goes before all else, but before more
-// urgent requests only while such calls keep to their share: a slot elsewhere is held until
+// urgent requests that starve only while such calls keep to their share: a slot elsewhere is held until
 // it ends, and the work done there is lost if it is refused. Of equals in priority, one that was turned away before goes last: its aim is lost mostly,
 // and if it went first, it would make the others late in turn.
 func (c Class) rank() int {
@@ -82,7 +82,8 @@
 	ranks            = 16                    // classes that are kept apart
 	nestedRank       = 0
 	ranksPerPriority = 2                      // fresh requests and those that return
-	nestedShare      = 0.8                    // of the slot time, beyond which nested calls don't go first
+	nestedShare      = 0.5                    // of the slot time, beyond which nested calls don't go before starved jobs that are more urgent
+	starvedShare     = 0.6                    // of the direct jobs, refused, from which on they are starved
 	usageHalf        = 500 * time.Millisecond // in which slot time given counts half
 	hurryShare       = 0.5                    // of the time that it has, after which a nested call goes first all the same
 	leastUrgent      = 2                      // priority from which on a job may wait for freshShare only; more urgent ones for multiples
@@ -93,9 +94,9 @@
 // crest: more arrives than the slots can do. A line that is bounded by the aim keeps all
 // slots busy and serves who is let in within the aim; who would come too late is told at
 // once when to return. It also answers the one in which nested calls of a less urgent kind of
-// request alone could fill the slots: they go first only within their share, so their parents
-// hold slots for longer and fewer new ones are let in where these run. The zero value has no
-// slots and refuses everything.
+// request alone could fill the slots: when others starve they go first only within their
+// share, so their parents hold slots for longer and fewer new ones are let in where these
+// run. The zero value has no slots and refuses everything.
 type Queue struct {
 	Slots int
 	InUse int
@@ -160,7 +161,11 @@
 	}
 	job.expected = q.expected(job.rank)
 	wait := q.corrected(job.rank)
-	if q.Slots == 0 || !q.worthwhile(job, now, wait) {
+	admitted = q.Slots > 0 && q.worthwhile(job, now, wait)
+	if !job.Nested {
+		q.usage.offered(admitted)
+	}
+	if !admitted {
 		return false, max(wait, minRetry)
 	}
 	job.state = waiting
@@ -299,9 +304,10 @@
 }
 
 // yields reports whether the nested call that waits for longest goes after the jobs of a
-// rank: it is made for a less urgent request, and such calls have had their share.
+// rank: it is made for a less urgent request, such calls have had their share, and most direct
+// jobs are refused.
 func (q *Queue) yields(rank int) bool {
-	if rank == nestedRank || len(q.lines[nestedRank]) == 0 || !q.usage.beyondShare() {
+	if rank == nestedRank || len(q.lines[nestedRank]) == 0 || !q.usage.starved() || !q.usage.beyondShare() {
 		return false
 	}
 	return (rank-1)/ranksPerPriority < q.lines[nestedRank][0].Priority
--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -123,7 +124,7 @@
 	far := startHub(t, "far", p)
 	g := startGate(t, far.Self.Address)
 	near := startHub(t, "near", &peer{given: make(chan string, 8)})
-	near.Want(map[string]Peer{g.address: {}})
+	near.Want(map[string]Peer{g.address: {}}, nil)
 	for range 100 {
 		if links := near.Links(); len(links) > 0 {
 			return near, links[0], g
@@ -238,12 +239,15 @@
 	t.Helper()
 	hubs := make([]*Hub, number)
 	wanted := make(map[string]Peer)
+	var known []Peer
 	for i := range hubs {
 		hubs[i] = startHub(t, string(rune('a'+i)), &peer{serve: echo, given: make(chan string, 8)})
 		wanted[hubs[i].Self.Address] = hubs[i].Self
+		known = append(known, hubs[i].Self)
 	}
 	for _, h := range hubs {
-		h.Want(wanted)
+		others := slices.DeleteFunc(slices.Clone(known), func(p Peer) bool { return p.Node == h.Self.Node })
+		h.Want(wanted, others)
 	}
 	return hubs
 }
@@ -295,7 +299,7 @@
 	met := make(chan []Peer, 8)
 	newcomer := startHub(t, "z", &peer{serve: echo, given: make(chan string, 8)})
 	newcomer.Meet = func(peers []Peer) { met <- peers }
-	newcomer.Want(map[string]Peer{hubs[0].Self.Address: {}})
+	newcomer.Want(map[string]Peer{hubs[0].Self.Address: {}}, nil)
 	select {
 	case peers := <-met:
 		assert.Equal(t, len(peers), len(hubs))
--- a/internal/proxy/carrier/dialing.go
+++ b/internal/proxy/carrier/dialing.go
@@ -32,14 +32,16 @@
 	busy  bool          // a try or its link is under way
 }
 
-// Want keeps links to exactly the given peers, by address.
-func (h *Hub) Want(peers map[string]Peer) {
+// Want keeps links to the given peers, by address; others may dial this node. known are all
+// nodes that a newcomer is told of.
+func (h *Hub) Want(peers map[string]Peer, known []Peer) {
 	now := time.Now()
 	h.mu.Lock()
 	if h.closed {
 		h.mu.Unlock()
 		return
 	}
+	h.known = known
 	for address := range h.wanted {
 		if _, ok := peers[address]; !ok {
 			delete(h.wanted, address)
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -31,6 +31,7 @@
 
 	mu       sync.Mutex
 	wanted   map[string]*dialing // by address
+	known    []Peer              // replaced, never changed
 	all      map[*Link]struct{}
 	links    []*Link            // the one to use for each node; replaced, never changed
 	services map[string][]*Link // the same, by the service of the target beside the node
@@ -169,17 +170,11 @@
 	return a.token > b.token
 }
 
-// Peers returns all nodes that links are wanted to.
+// Peers returns all nodes that are known by name.
 func (h *Hub) Peers() []Peer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	peers := make([]Peer, 0, len(h.wanted))
-	for _, d := range h.wanted {
-		if d.peer.Node != "" {
-			peers = append(peers, d.peer)
-		}
-	}
-	return peers
+	return slices.DeleteFunc(slices.Clone(h.known), func(p Peer) bool { return p.Node == "" })
 }
 
 // Links returns the links that are up, one for each node, in the order of the nodes' names.
--- a/internal/proxy/forwarder/pick.go
+++ b/internal/proxy/forwarder/pick.go
@@ -78,7 +78,7 @@
 func (p *pass) candidate(state *carrier.State) balancer.Candidate {
 	wait := 0
 	if len(state.Waits) > 0 {
-		wait = state.Waits[min(max(p.priority, 0), len(state.Waits)-1)]
+		wait = state.Waits[min(max(p.waitsAs(), 0), len(state.Waits)-1)]
 	}
 	return balancer.Candidate{
 		Wait:    time.Duration(wait) * time.Millisecond,
@@ -90,6 +90,14 @@
 	}
 }
 
+// waitsAs returns the priority whose waits the request can expect. Nested calls go first.
+func (p *pass) waitsAs() int {
+	if p.nested {
+		return 0
+	}
+	return p.priority
+}
+
 func (p *pass) wasAsked(node string) bool {
 	for _, asked := range p.asked {
 		if asked == node {
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -22,16 +22,17 @@
 )
 
 const (
-	tick          = 250 * time.Millisecond
-	forgetAfter   = 30 * time.Second        // without a link, after which a node is no longer dialed
-	deliverOn     = 1200 * time.Millisecond // after SIGTERM, while other nodes take note
-	stayFor       = 2300 * time.Millisecond // after SIGTERM, until the platform has asked twice for readiness
-	takeFor       = 3 * time.Second         // after SIGTERM, for which new requests are still served
-	quietFor      = 400 * time.Millisecond  // without a request before the process ends
-	stopMargin    = 900 * time.Millisecond  // before SIGKILL, to leave the store and close what is left
-	longestLinger = time.Second             // for which a target that leaves still gets calls
-	eventsBacklog = 256
-	leastNodes    = 10 // among which the allowance of repeats is shared at least
+	tick           = 250 * time.Millisecond
+	forgetAfter    = 30 * time.Second        // without a link, after which a node is no longer dialed
+	forgetUnlinked = 2 * time.Minute         // the same for a node to which none is wanted; several readings of all entries
+	deliverOn      = 1200 * time.Millisecond // after SIGTERM, while other nodes take note
+	stayFor        = 2300 * time.Millisecond // after SIGTERM, until the platform has asked twice for readiness
+	takeFor        = 3 * time.Second         // after SIGTERM, for which new requests are still served
+	quietFor       = 400 * time.Millisecond  // without a request before the process ends
+	stopMargin     = 900 * time.Millisecond  // before SIGKILL, to leave the store and close what is left
+	longestLinger  = time.Second             // for which a target that leaves still gets calls
+	eventsBacklog  = 256
+	leastNodes     = 10 // among which the allowance of repeats is shared at least
 )
 
 // Where a configuration came from, in logs.
@@ -60,7 +61,8 @@
 	most      atomic.Int64 // nodes known at once, this one included
 	started   time.Time
 	events    chan func()
-	peers     map[string]*known // by address
+	peers     map[string]*known       // by address
+	wanted    map[string]carrier.Peer // of them, those to which links are kept
 	target    tracker.Tracker
 	deliverer *deliverer.Deliverer
 	forwarder *forwarder.Forwarder
@@ -217,7 +219,8 @@
 	return true
 }
 
-// forget drops nodes that no link could be made to for a while.
+// forget drops nodes that no link could be made to for a while, and those to which no link is
+// wanted that the store has not named for longer.
 func (n *Node) forget(now time.Time) {
 	dropped := false
 	linked := n.hub.Linked()
@@ -226,7 +229,11 @@
 			k.seen = now
 			continue
 		}
-		if now.Sub(k.seen) > forgetAfter {
+		limit := forgetAfter
+		if _, ok := n.wanted[address]; !ok {
+			limit = forgetUnlinked
+		}
+		if now.Sub(k.seen) > limit {
 			delete(n.peers, address)
 			n.Log.Info("node: forgotten", zap.String("node", k.Node), zap.String("address", address))
 			dropped = true
@@ -237,13 +244,14 @@
 	}
 }
 
-// want tells the hub which links to keep.
+// want tells the hub which nodes are known and which links to keep.
 func (n *Node) want() {
-	peers := make(map[string]carrier.Peer, len(n.peers))
-	for address, k := range n.peers {
-		peers[address] = k.Peer
+	known := make([]carrier.Peer, 0, len(n.peers))
+	for _, k := range n.peers {
+		known = append(known, k.Peer)
 	}
-	n.hub.Want(peers)
+	n.wanted = chooseLinks(n.self, known)
+	n.hub.Want(n.wanted, known)
 }
 
 // Config takes in the configuration that the store holds.
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -131,6 +131,7 @@
 	Zone    string  `json:"zone"`
 	Service string  `json:"service"`
 	Serving bool    `json:"serving"`
+	Suspect bool    `json:"suspect"` // does not answer pings
 	Busy    int     `json:"busy"`
 	Open    int     `json:"open"`
 	Version uint64  `json:"version"`
@@ -162,6 +163,7 @@
 			Zone:    l.Peer.Zone,
 			Service: l.Peer.Service,
 			Serving: state.Serving,
+			Suspect: l.Suspect(),
 			Busy:    state.InUse + state.Waiting,
 			Open:    open,
 			Version: state.Version,
