--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -83,7 +83,7 @@
 	nestedRank       = 0
 	ranksPerPriority = 2                      // fresh requests and those that return
 	nestedShare      = 0.5                    // of the slot time, beyond which nested calls don't go before starved jobs that are more urgent
-	starvedShare     = 0.6                    // of the direct jobs, refused, from which on they are starved
+	starvedShare     = 0.7                    // of the direct jobs, refused, from which on they are starved
 	usageHalf        = 500 * time.Millisecond // in which slot time given counts half
 	hurryShare       = 0.5                    // of the time that it has, after which a nested call goes first all the same
 	leastUrgent      = 2                      // priority from which on a job may wait for freshShare only; more urgent ones for multiples
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -20,7 +20,7 @@
 	leastLeft     = 10 * time.Millisecond  // below which a target is not bothered
 	retryConnect  = 250 * time.Millisecond // between tries to reach a target that refused a connection
 	failureWeight = 0.05                   // of one call in the share of failures
-	ampleTimes    = 4                      // mean times in a slot, in which nearly all calls end
+	ampleTimes    = 6                      // mean times in a slot, in which nearly all calls end
 )
 
 // Meter takes in measurements.
