--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -82,7 +82,7 @@
 	ranks            = 16                    // classes that are kept apart
 	nestedRank       = 0
 	ranksPerPriority = 2                      // fresh requests and those that return
-	nestedShare      = 0.85                    // of the slot time, beyond which nested calls don't go before starved jobs that are more urgent
+	nestedShare      = 0.85                   // of the slot time, beyond which nested calls don't go before starved jobs that are more urgent
 	starvedShare     = 0.7                    // of the direct jobs, refused, from which on they are starved
 	usageHalf        = 500 * time.Millisecond // in which slot time given counts half
 	hurryShare       = 0.5                    // of the time that it has, after which a nested call goes first all the same
