Serve downloads, and send large answers in paced pieces

With the kind known, nodes with 12 Mbit/s sent whole downloads (90 KB in the mean, 60 ms of such a link) in one frame, and lookups waited behind them. Change: downloads are idempotent and marked as bulk; a route of another unknown kind is run at most once, with a log line, and no longer stops the others. Answers larger than 5 ms of the host's link go in pieces that package pacer grants by priority and deadline, both on links and to clients; small frames are only charged. A target's node announces how long its link is busy; large responses choose nodes by it, and are refused before they run if others on the link would make them late. Ruled out: a limit on whole transfers at once (lookups would still wait for one of them). A fault found by the tests: a queue that had sent nothing yet made its first transfer wait forever.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -20,6 +20,7 @@
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/forwarder"
 	"clementinerock/internal/proxy/matcher"
+	"clementinerock/internal/proxy/pacer"
 	"clementinerock/platform"
 )
 
@@ -48,6 +49,7 @@
 	Log       *zap.Logger
 	Forwarder Forwarder
 	Table     func() *matcher.Table // returns the active route table, or nil
+	Uplink    *pacer.Gate           // paces large responses; nil for no limit
 
 	stopping     atomic.Bool  // set by Stop
 	refusing     atomic.Bool  // set by Refuse
@@ -204,12 +206,12 @@
 		return false
 	}
 	gone, stopWatch := watch(c)
-	result := a.handle(request, arrived, gone)
+	result, urgency := a.handle(request, arrived, gone)
 	if !stopWatch() || result == nil {
 		return false // a call may still use the request's memory, so it is not released
 	}
 	defer fasthttp.ReleaseRequest(request)
-	return a.writeResponse(c, request, result)
+	return a.writeResponse(c, request, result, urgency)
 }
 
 var (
@@ -265,7 +267,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	response.SetStatusCode(status)
 	response.SetConnectionClose()
-	a.write(c, response)
+	a.write(c, response, urgency{})
 }
 
 // watch closes gone if the client disconnects while its request is served. stopWatch ends the watch
@@ -295,14 +297,15 @@
 	}
 }
 
-// handle forwards a request and returns the response, or nil if the client disconnected.
-func (a *Acceptor) handle(in *fasthttp.Request, arrived time.Time, gone <-chan struct{}) *fasthttp.Response {
+// handle forwards a request and returns the response with the urgency of its sending, or nil if the
+// client disconnected.
+func (a *Acceptor) handle(in *fasthttp.Request, arrived time.Time, gone <-chan struct{}) (*fasthttp.Response, urgency) {
 	table := a.Table()
 	id := in.Header.Peek(platform.HeaderRequestID)
 	uri := in.Header.RequestURI()
 	if table == nil || a.refusing.Load() {
 		a.Log.Info("client: request refused, node is not ready or is stopping", zap.ByteString("id", id))
-		return newRefusal(notReadyRetryAfter)
+		return newRefusal(notReadyRetryAfter), urgency{}
 	}
 	path, _, _ := bytes.Cut(uri, []byte("?"))
 	route := table.Match(string(in.Header.Host()), string(path))
@@ -312,11 +315,11 @@
 			zap.ByteString("host", in.Header.Host()),
 			zap.ByteString("path", path),
 			zap.Uint64("version", table.Version))
-		return newResponse(fasthttp.StatusNotFound)
+		return newResponse(fasthttp.StatusNotFound), urgency{}
 	}
 	if len(id) == 0 {
 		a.Log.Info("client: request without an id", zap.String("route", route.Name))
-		return newResponse(fasthttp.StatusBadRequest)
+		return newResponse(fasthttp.StatusBadRequest), urgency{}
 	}
 	remaining, ok := platform.ParseTimeRemaining(in.Header.Peek(platform.HeaderTimeRemaining))
 	if !ok {
@@ -335,5 +338,5 @@
 		Body:      in.Body(),
 		Gone:      gone,
 	})
-	return responseFor(&result, id)
+	return responseFor(&result, id), urgency{priority: route.Priority, deadline: arrived.Add(remaining)}
 }
--- a/internal/proxy/acceptor/response.go
+++ b/internal/proxy/acceptor/response.go
@@ -12,6 +12,9 @@
 	"clementinerock/platform"
 )
 
+// headerSize is the usual size of a response's header in bytes.
+const headerSize = 300
+
 // newResponse returns an empty response with a status.
 func newResponse(code int) *fasthttp.Response {
 	response := fasthttp.AcquireResponse()
@@ -50,28 +53,57 @@
 }
 
 // writeResponse sends a response and reports whether the connection may be used again.
-func (a *Acceptor) writeResponse(c *clientConn, request *fasthttp.Request, response *fasthttp.Response) bool {
+func (a *Acceptor) writeResponse(c *clientConn, request *fasthttp.Request, response *fasthttp.Response, urgency urgency) bool {
 	defer fasthttp.ReleaseResponse(response)
 	closes := request.Header.ConnectionClose() || a.stopping.Load()
 	if closes {
 		response.SetConnectionClose()
 	}
 	response.SkipBody = request.Header.IsHead()
-	return a.write(c, response) && !closes
+	return a.write(c, response, urgency) && !closes
+}
+
+// urgency orders the large responses that are being sent.
+type urgency struct {
+	priority int       // 0 is the most urgent
+	deadline time.Time // time at which the client stops waiting
 }
 
 // write sends a response and reports whether that succeeded.
-func (a *Acceptor) write(c *clientConn, response *fasthttp.Response) bool {
+func (a *Acceptor) write(c *clientConn, response *fasthttp.Response, urgency urgency) bool {
 	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return false
 	}
 	out := bufio.NewWriterSize(c, initialBuffer)
+	body := response.Body()
+	if !response.SkipBody && len(body) > a.Uplink.Piece() {
+		return writePaced(c, out, response, func(write func([]byte) error) error {
+			return a.Uplink.Send(body, urgency.priority, urgency.deadline, write)
+		})
+	}
 	if err := response.Write(out); err != nil {
 		return false // the client disconnected
 	}
+	a.Uplink.Charge(len(body) + headerSize)
 	return out.Flush() == nil
 }
 
+// writePaced sends the header of a response at once and its body with the given function. It reports
+// whether that succeeded.
+func writePaced(c *clientConn, out *bufio.Writer, response *fasthttp.Response, send func(write func([]byte) error) error) bool {
+	response.Header.SetContentLength(len(response.Body()))
+	if response.Header.Write(out) != nil || out.Flush() != nil {
+		return false // the client disconnected
+	}
+	return send(func(piece []byte) error {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		_, err := c.Write(piece)
+		return err
+	}) == nil
+}
+
 // dropped reports whether a header of a client's request is not copied to the call.
 func dropped(name string) bool {
 	switch name {
--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -23,6 +23,8 @@
 	Refuse func(retryAfter time.Duration)
 
 	LatencyObjective time.Duration // latency objective of the route; 0 for none
+	SendWait         time.Duration // time until the host's link is free for a large response
+	SendTime         time.Duration // time to send a large response; 0 if the response is small
 
 	rank         int
 	state        jobState
@@ -199,6 +201,9 @@
 func (q *Queue) Offer(job *Job, now time.Time) (admitted bool, retryAfter time.Duration) {
 	job.rank = job.Class.rank()
 	q.usage.decay(now)
+	if q.linkTooBusy(job, now) {
+		return false, max(job.SendWait, minRetryAfter)
+	}
 	if q.HasFreeSlot() {
 		q.start(job)
 		return true, 0
@@ -219,6 +224,17 @@
 	return true, 0
 }
 
+// linkTooBusy reports whether a large response would be late because other large responses are to be
+// sent before it. Such a job is refused even if a slot is free, since running it would use the slot for
+// a response that only makes all later ones late as well.
+func (q *Queue) linkTooBusy(job *Job, now time.Time) bool {
+	if job.SendWait <= job.SendTime {
+		return false
+	}
+	finish := now.Add(q.correctedWait(job.rank) + q.rankServiceTime(job.rank) + job.SendWait + job.SendTime)
+	return finish.After(job.SoftDeadline)
+}
+
 // expectedWait estimates the wait of a new job of a rank from the jobs queued before it.
 func (q *Queue) expectedWait(rank int) time.Duration {
 	var work time.Duration
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -23,6 +23,7 @@
 	Suspect       bool          // whether the target's node does not answer pings
 	Open          int           // number of calls that this node has open with the target now
 	OpenAtReport  int           // number of calls that this node had open when the last report arrived
+	SendDelay     time.Duration // time to send a large response to this node; 0 for calls without one
 }
 
 const (
@@ -83,13 +84,14 @@
 // leaving the failure domain, of failures, of a suspect node and of occupancy. meanServiceTime is
 // the mean service time of the service; random lies in [0, 1).
 //
-// It is designed for three load patterns. Targets differ in speed, so that equal shares would
+// It is designed for four load patterns. Targets differ in speed, so that equal shares would
 // overload the slow ones. Bursts are shorter than the age of the reports, so that calls that this node
 // has opened since the report must count in full. Hosts become unresponsive while the last report of
-// their node still says that slots are free.
+// their node still says that slots are free. Large responses fill the links of hosts whose slots are
+// free.
 func Score(c *Candidate, meanServiceTime time.Duration, random float64) float64 {
 	serviceTime := c.serviceTime().Seconds()
-	score := c.ExpectedWait().Seconds() + serviceTime
+	score := c.ExpectedWait().Seconds() + serviceTime + c.SendDelay.Seconds()
 	if !c.SameDomain {
 		score += crossDomainCost * meanServiceTime.Seconds()
 	}
--- a/internal/proxy/balancer/balancer_test.go
+++ b/internal/proxy/balancer/balancer_test.go
@@ -27,6 +27,7 @@
 		"failing":                           {Candidate{SameDomain: true, Slots: 6, Mean: serviceTime, Failing: 0.5}, true},
 		"cold":                              {Candidate{SameDomain: true, Slots: 6, Mean: serviceTime, ColdRemaining: time.Second}, true},
 		"many open calls of this node":      {Candidate{SameDomain: true, Slots: 6, Mean: serviceTime, Open: 7}, true},
+		"busy link, large response":         {Candidate{SameDomain: true, Slots: 6, Mean: serviceTime, SendDelay: serviceTime}, true},
 		"suspect node":                      {Candidate{SameDomain: true, Slots: 6, Mean: serviceTime, Suspect: true}, true},
 		"old report of other nodes' calls":  {Candidate{SameDomain: true, Slots: 6, Busy: 12, ReportedWait: serviceTime, Mean: serviceTime / 2, ReportAge: 3 * time.Second}, false},
 	}
--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"clementinerock/internal/proxy/matcher"
+	"clementinerock/internal/proxy/pacer"
 )
 
 // testServer is the Server of a hub under test.
@@ -20,6 +21,7 @@
 	serve    func(call *Call, answer func(*Answer))
 	voided   map[string]bool
 	canceled chan string // IDs of canceled calls
+	uplink   *pacer.Gate // paces the answers; nil for no limit
 }
 
 func (s *testServer) Serve(call *Call, answer func(*Answer)) func() {
@@ -49,6 +51,7 @@
 		Server:   s,
 		Log:      zap.NewNop(),
 		AddPeers: func([]Peer) {},
+		Uplink:   s.uplink,
 	}
 	stop, err := h.Start()
 	assert.NilError(t, err)
--- a/internal/proxy/carrier/exchange.go
+++ b/internal/proxy/carrier/exchange.go
@@ -10,7 +10,21 @@
 type pendingCall struct {
 	answers    chan *Answer
 	idempotent bool
-	confirmed  bool // whether this node has confirmed the call
+	confirmed  bool   // whether this node has confirmed the call
+	body       []byte // pieces of the answer's body received so far
+}
+
+// whole returns the answer of a frame with the body that was received in pieces before it. A body
+// that lacks a piece counts as lost with its answer.
+func (p *pendingCall) whole(frame *answerFrame) *Answer {
+	if frame.Size == 0 {
+		return frame.Answer
+	}
+	if len(p.body) != frame.Size {
+		return &Answer{Outcome: Failed, Reason: "body incomplete", Load: frame.Answer.Load}
+	}
+	frame.Answer.Body = p.body
+	return frame.Answer
 }
 
 // lostAnswer returns the result of a call whose answer will not arrive. A call that is not
@@ -55,6 +69,7 @@
 		l.sendOrClose(kindCancel, &numberFrame{Number: number})
 		return nil
 	case <-timer.C:
+		l.sendOrClose(kindCancel, &numberFrame{Number: number})
 		return l.removeCall(number, p, "peer unresponsive")
 	}
 }
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -12,6 +12,7 @@
 
 	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/dialer"
+	"clementinerock/internal/proxy/pacer"
 )
 
 const (
@@ -31,6 +32,7 @@
 	Server   Server
 	Log      *zap.Logger
 	AddPeers func([]Peer) // called with the peers that another node has sent
+	Uplink   *pacer.Gate  // paces large answers; nil for no limit
 
 	mu             sync.Mutex
 	dialStates     map[string]*dialState // by address of the peer
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"clementinerock/internal/proxy/matcher"
+	"clementinerock/internal/proxy/pacer"
 )
 
 const (
@@ -58,6 +59,7 @@
 	id     uint64 // random; the same on both sides
 	hub    *Hub
 	server Server
+	uplink *pacer.Gate
 	conn   net.Conn
 	reader *bufio.Reader
 	done   chan struct{} // closed when the link is closed
@@ -85,6 +87,7 @@
 func (h *Hub) newLink(conn net.Conn) *Link {
 	return &Link{
 		hub:           h,
+		uplink:        h.Uplink,
 		server:        h.Server,
 		conn:          conn,
 		reader:        bufio.NewReaderSize(conn, readBufferSize),
@@ -173,11 +176,19 @@
 	l.stateTime.Store(time.Now().UnixNano())
 }
 
-// send writes one frame. If the write fails, the peer can't receive the whole frame.
+// send writes one frame at once and charges it to the uplink. If the write fails, the peer can't
+// receive the whole frame.
 func (l *Link) send(frameKind kind, body any) error {
+	size, err := l.write(frameKind, body)
+	l.uplink.Charge(size)
+	return err
+}
+
+// write writes one frame and returns its size in bytes.
+func (l *Link) write(frameKind kind, body any) (int, error) {
 	encoded, err := cbor.Marshal(body)
 	if err != nil {
-		return merry.Prepend(err, "encode frame")
+		return 0, merry.Prepend(err, "encode frame")
 	}
 	frame := frameBuffers.Get().(*[]byte)
 	defer frameBuffers.Put(frame)
@@ -187,10 +198,9 @@
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+		return 0, err
 	}
-	_, err = l.conn.Write(*frame)
-	return err
+	return l.conn.Write(*frame)
 }
 
 // read reads one frame.
@@ -231,6 +241,8 @@
 		return l.serveCall(body)
 	case kindAnswer:
 		return l.completeCall(body)
+	case kindPiece:
+		return l.receivePiece(body)
 	case kindCancel:
 		return l.cancelCall(body)
 	case kindState, kindPong:
@@ -298,17 +310,18 @@
 	if !frame.Call.Idempotent {
 		frame.Call.Confirm = func() bool { return l.requestConfirmation(number) }
 	}
+	deadline := time.Now().Add(frame.Call.Remaining)
 	cancel := l.server.Serve(frame.Call, func(answer *Answer) {
-		l.mu.Lock()
-		delete(l.serving, number)
-		closed := l.closed
-		l.mu.Unlock()
-		if !closed {
+		if len(answer.Body) > l.uplink.Piece() {
+			l.answerInPieces(frame.Call, number, answer, deadline)
+			return
+		}
+		if l.endServing(number) {
 			l.sendOrClose(kindAnswer, &answerFrame{Number: number, Answer: answer})
 		}
 	})
 	l.mu.Lock()
-	if _, open := l.serving[number]; open {
+	if current, open := l.serving[number]; open && current == nil {
 		l.serving[number] = cancel
 	}
 	l.mu.Unlock()
@@ -327,7 +340,7 @@
 	l.mu.Unlock()
 	if ok {
 		l.openCalls.Add(-1)
-		pending.answers <- frame.Answer
+		pending.answers <- pending.whole(&frame)
 	}
 	l.setState(&frame.Answer.Load)
 	return nil
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -28,6 +28,7 @@
 	kindConfirmRequest // a call has a slot; its sender is asked to confirm it
 	kindConfirmReply   // the sender's reply to that request
 	kindSuspect        // another node does not answer pings
+	kindPiece          // a part of the body of an answer that follows
 )
 
 // Call is one attempt of a request at a target.
@@ -41,6 +42,7 @@
 	ClientRetry      bool          // client was refused before and sends the request again
 	NoWait           bool          // call is to be refused unless a slot is free
 	Idempotent       bool          // call may run more than once
+	Bulk             bool          // response may be large
 	Remaining        time.Duration // time until the deadline, after which no one waits for the answer
 	SoftDeadline     time.Duration // time until the soft deadline; negative once it has passed
 	LatencyObjective time.Duration // latency within which the route's requests should be answered
@@ -101,6 +103,8 @@
 	Waits         []int         // expected wait of a new call in ms, by priority; empty while slots are free
 	Version       uint64        // version of the active configuration
 	ReadsStore    bool          // whether the node reads the store and its last call to it succeeded
+	SendWait      int           // time in ms until the node would begin to send a further large response
+	SendTime      int           // time in ms that the node takes to send a large response of mean size
 }
 
 // Peer describes a node by properties that do not change while its process runs.
@@ -137,6 +141,15 @@
 	_      struct{} `cbor:",toarray"`
 	Number uint64
 	Answer *Answer
+	Size   int // size in bytes of the body if it was sent in pieces before; 0 otherwise
+}
+
+// pieceFrame carries a part of the body of the answer to a call.
+type pieceFrame struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Size   int // size in bytes of the whole body
+	Data   []byte
 }
 
 // numberFrame cancels a call or requests its confirmation, depending on its kind.
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -15,6 +15,7 @@
 	"clementinerock/internal/call/deduper"
 	"clementinerock/internal/proxy/admitter"
 	"clementinerock/internal/proxy/carrier"
+	"clementinerock/internal/proxy/pacer"
 	"clementinerock/internal/proxy/tracker"
 )
 
@@ -37,6 +38,9 @@
 	// failureWeight is the weight of one call in the moving average of failures.
 	failureWeight = 0.05
 
+	// bulkSizeWeight is the weight of one response in the moving average of sizes.
+	bulkSizeWeight = 0.05
+
 	// ampleTimeFactor is the multiple of the mean service time within which nearly all calls
 	// end.
 	ampleTimeFactor = 6
@@ -57,6 +61,8 @@
 	OnStateChange func()        // called after a change of state that other nodes need at once
 	Version       func() uint64 // returns the version of the active configuration
 	DrainGrace    time.Duration // time for which a target that drains or has left still gets calls
+	Uplink        *pacer.Gate   // sends the responses of the target to other hosts
+	Memory        int64         // memory limit of this process in bytes; 0 if there is none
 
 	mu               sync.Mutex // guards the fields below
 	queue            admitter.Queue
@@ -69,6 +75,7 @@
 	attempts         deduper.Deduper
 	failureRatio     float64                   // moving average of the share of shed and failed calls
 	running          map[string]runningRequest // by request ID
+	bulkSize         float64                   // moving average of the size of large responses in bytes
 }
 
 // delivery is one call and its progress.
@@ -79,6 +86,7 @@
 	conn     *conn // connection that carries the call; nil unless the target runs it
 	canceled bool
 	timer    *time.Timer // calls refuseOverdue; nil if the call was not queued
+	unsend   func()      // ends the announcement of a large response; nil for other calls
 }
 
 // Update applies the newest accepted report of the target.
@@ -170,6 +178,7 @@
 
 func (d *Deliverer) currentState(now time.Time) carrier.State {
 	load := d.queue.Load()
+	sendWait, sendTime := d.Uplink.Delay(int(d.bulkSize))
 	var waits []int
 	if load.InUse >= load.Slots {
 		for _, wait := range load.Waits {
@@ -186,6 +195,8 @@
 		ColdRemaining: max(d.coldEnd.Sub(now), 0).Truncate(time.Millisecond),
 		Waits:         waits,
 		Version:       d.Version(),
+		SendWait:      int(sendWait.Milliseconds()),
+		SendTime:      int(sendTime.Milliseconds()),
 	}
 }
 
@@ -240,6 +251,10 @@
 	if v.call.NoWait && !d.queue.HasFreeSlot() {
 		return "no free slot", 0
 	}
+	if v.call.Bulk {
+		v.SendWait, v.SendTime = d.Uplink.Delay(int(d.bulkSize))
+		v.unsend = sync.OnceFunc(d.Uplink.Reserve(int(d.bulkSize)))
+	}
 	admitted, retryAfter := d.queue.Offer(&v.Job, now)
 	if !admitted {
 		return "full", retryAfter
@@ -252,6 +267,7 @@
 
 func (d *Deliverer) refuse(v *delivery, reason string, retryAfter time.Duration, maxWaitExceeded bool) {
 	d.Meter.Add("deliver_refused", 1)
+	v.endReservation()
 	v.answer(&carrier.Answer{
 		Outcome:         carrier.Refused,
 		Reason:          reason,
@@ -277,6 +293,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.queue.Remove(&v.Job) {
+		v.endReservation()
 		return
 	}
 	if v.call.Idempotent {
@@ -346,6 +363,7 @@
 		d.recordOutcome(result.Outcome, v.call.Remaining)
 	}
 	d.queue.Done(&v.Job, held, now)
+	d.recordSize(v.call, result)
 	result.Load = d.currentState(now)
 	target := d.target.ID
 	d.mu.Unlock()
@@ -359,6 +377,7 @@
 			zap.Duration("left", v.call.Remaining))
 	}
 	d.Meter.Add("deliver_"+result.Outcome.String(), 1)
+	v.endReservation()
 	v.answer(result)
 }
 
@@ -382,6 +401,20 @@
 	d.failureRatio += failureWeight * (sample - d.failureRatio)
 }
 
+// recordSize updates the mean size of large responses.
+func (d *Deliverer) recordSize(call *carrier.Call, result *carrier.Answer) {
+	if call.Bulk && result.Outcome == carrier.Answered {
+		d.bulkSize += bulkSizeWeight * (float64(len(result.Body)) - d.bulkSize)
+	}
+}
+
+// endReservation ends the announcement of a large response, which is sent now or will not be.
+func (v *delivery) endReservation() {
+	if v.unsend != nil {
+		v.unsend()
+	}
+}
+
 // deliver sends a call to the target on an idle connection or on a new one. Calls that are not
 // idempotent are delivered at most once per attempt.
 func (d *Deliverer) deliver(v *delivery) *carrier.Answer {
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -316,6 +316,7 @@
 		Nested:           p.nested,
 		ClientRetry:      p.clientRetry,
 		Idempotent:       p.Route.Idempotent,
+		Bulk:             p.Route.Bulk,
 		Remaining:        p.deadline.Sub(now),
 		SoftDeadline:     p.softDeadline.Sub(now),
 		LatencyObjective: p.Route.SoftDeadline,
--- a/internal/proxy/forwarder/pick.go
+++ b/internal/proxy/forwarder/pick.go
@@ -27,6 +27,9 @@
 			nodes = append(nodes, destination{node: f.Hub.Self.Node})
 			c := p.candidate(&state)
 			c.SameDomain = true
+			if p.Route.Bulk {
+				c.SendDelay = time.Duration(state.SendWait) * time.Millisecond
+			}
 			candidates = append(candidates, c)
 		}
 	}
@@ -43,6 +46,10 @@
 		c.SameDomain = l.Peer.FailureDomain == f.FailureDomain
 		c.ReportAge, c.Open, c.OpenAtReport = age, open, openAtReport
 		c.Suspect = l.Suspect()
+		if p.Route.Bulk {
+			c.SendDelay = max(time.Duration(state.SendWait)*time.Millisecond-age, 0) +
+				time.Duration(state.SendTime)*time.Millisecond
+		}
 		candidates = append(candidates, c)
 	}
 	if !p.nested {
--- a/internal/proxy/matcher/matcher.go
+++ b/internal/proxy/matcher/matcher.go
@@ -31,6 +31,7 @@
 	Host             string // in lower case
 	Prefix           string // begins and ends with a slash
 	Idempotent       bool
+	Bulk             bool              // whether responses may be large
 	Timeout          time.Duration     // maximum time that a client waits for the response
 	SoftDeadline     time.Duration     // latency objective: time from arrival until a response is late
 	Priority         int               // 0 is the most urgent
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -17,6 +17,7 @@
 	"clementinerock/internal/proxy/finder"
 	"clementinerock/internal/proxy/forwarder"
 	"clementinerock/internal/proxy/matcher"
+	"clementinerock/internal/proxy/pacer"
 	"clementinerock/internal/proxy/tracker"
 	"clementinerock/platform"
 )
@@ -54,6 +55,10 @@
 	// maxDrainGrace is the maximum time for which a target that drains or has left still gets calls.
 	maxDrainGrace = time.Second
 
+	// paceableShare is the share of the host's bandwidth for the content of messages. The rest is for
+	// the headers of packets.
+	paceableShare = 0.92
+
 	// minBudgetNodes is the minimum number of nodes among which the slack of a service's retry
 	// budget is divided.
 	minBudgetNodes = 10
@@ -152,6 +157,7 @@
 		Meter:   n.Meter,
 		Address: s.Target,
 		Version: n.Version,
+		Memory:  s.Memory,
 	}
 	n.hub = &carrier.Hub{Self: n.self, Server: n, Log: n.Log, AddPeers: n.AddPeers}
 	n.deliverer.OnStateChange = n.hub.Announce
@@ -166,6 +172,8 @@
 	}
 	n.forwarder.Budget = func() budgeter.Budget { return n.budget() }
 	n.acceptor = &acceptor.Acceptor{Log: n.Log, Forwarder: n.forwarder, Table: n.table.Load}
+	uplink := &pacer.Gate{Rate: paceableShare * s.Bandwidth}
+	n.hub.Uplink, n.deliverer.Uplink, n.acceptor.Uplink = uplink, uplink, uplink
 	store, _ := platform.NewStore(s.Store)
 	n.finder = &finder.Finder{Log: n.Log, Store: store, Self: n.self, Sink: n, Hub: n.hub}
 }
@@ -281,13 +289,20 @@
 
 // ReceiveConfig decodes and activates the configuration in the store.
 func (n *Node) ReceiveConfig(text []byte) {
-	table, err := platform.DecodeConfig(text)
+	table, unknownKinds, err := platform.DecodeConfig(text)
 	if err != nil {
 		n.Log.Error("config: invalid configuration in the store ignored",
 			zap.String("from", sourceStore),
 			recorder.Err(err))
+		n.Meter.Add("config_refused", 1)
 		return
 	}
+	if len(unknownKinds) > 0 {
+		n.Log.Warn("config: requests of routes of unknown kinds are run at most once",
+			zap.Uint64("version", table.Version),
+			zap.Int("routes", len(unknownKinds)),
+			zap.String("kind", unknownKinds[0]))
+	}
 	n.enqueue(func() { n.activate(n.shareUnchanged(table), sourceStore) })
 }
 
