Bound the memory for responses that never end

Change: an eighth of the process's memory is shared out among the slots (1 MB at least); the body is passed on without a copy. A success without a request ID is no answer any more, since nothing shows which request it belongs to; the two cases of TestAnswers that lacked the ID now have it. Conclusion: endless heads, lines and interim responses were bounded already by the read buffer.

--- a/internal/proxy/deliverer/conn.go
+++ b/internal/proxy/deliverer/conn.go
@@ -25,6 +25,11 @@
 
 	readBufferSize  = 4 << 10  // in bytes
 	maxResponseBody = 64 << 20 // in bytes
+	minResponseBody = 1 << 20  // in bytes
+
+	// responseMemoryShare is the share of this process's memory for the bodies that are read from the
+	// target at the same time. A buffer may have twice the size of its content while it grows.
+	responseMemoryShare = 0.125
 
 	// maxInlineBody is the maximum size in bytes of a request body that is written together with
 	// the header. A longer one is written while the response is awaited, which may arrive before
@@ -145,26 +150,39 @@
 }
 
 // read reads the response to a call. It skips responses with the ID of another request, which a
-// target may have sent late. A response without an ID is accepted.
-func (c *conn) read(call *carrier.Call, response *fasthttp.Response) error {
+// target may have sent late. A failure without an ID is accepted, since it promises nothing.
+func (c *conn) read(call *carrier.Call, response *fasthttp.Response, maxBody int) error {
 	for range maxResponsesRead {
 		response.SkipBody = string(call.Method) == fasthttp.MethodHead
 		response.Header.SetNoDefaultContentType(true)
-		err := response.ReadLimitBody(c.reader, maxResponseBody)
+		err := response.ReadLimitBody(c.reader, maxBody)
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			return errClosed
 		}
 		if err != nil {
 			return err
 		}
-		if id := response.Header.Peek(platform.HeaderRequestID); len(id) == 0 || bytes.Equal(id, call.ID) {
+		id := response.Header.Peek(platform.HeaderRequestID)
+		if bytes.Equal(id, call.ID) {
 			return nil
 		}
+		if len(id) == 0 {
+			return checkAnonymous(response)
+		}
 		response.Reset()
 	}
 	return errStray
 }
 
+// checkAnonymous returns an error if a response without an ID reports success, since nothing shows
+// which request succeeded.
+func checkAnonymous(response *fasthttp.Response) error {
+	if status := response.StatusCode(); status >= 200 && status < 300 {
+		return errStray
+	}
+	return nil
+}
+
 // reusable reports whether the connection can carry another request after a response, and sets the
 // time for which it may be idle.
 func (c *conn) reusable(response *fasthttp.Response, bodyWritten <-chan error) bool {
--- a/internal/proxy/deliverer/deliverer_test.go
+++ b/internal/proxy/deliverer/deliverer_test.go
@@ -128,19 +128,20 @@
 		outcome carrier.Outcome
 		body    string
 	}{
-		"complete":             {respondWith(okResponse("r", "yes"), true), carrier.Answered, "yes"},
-		"truncated body":       {respondWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nyes", false), carrier.Failed, ""},
-		"truncated chunk":      {respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nye", false), carrier.Failed, ""},
-		"chunked":              {respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", true), carrier.Answered, "yes"},
-		"body until close":     {respondWith("HTTP/1.1 200 OK\r\n\r\nyes", false), carrier.Answered, "yes"},
-		"no response":          {respondWith("", false), carrier.Failed, ""},
-		"not HTTP":             {respondWith("garbage\r\n\r\n", false), carrier.Failed, ""},
-		"shed":                 {respondWith("HTTP/1.1 503 No\r\nClementinerock-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), carrier.Shed, ""},
-		"server error":         {respondWith("HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", true), carrier.Answered, "no"},
-		"other instance":       {respondWith("HTTP/1.1 421 No\r\nClementinerock-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n", true), carrier.Shed, ""},
-		"late response first":  {respondWith(okResponse("earlier", "no")+okResponse("r", "yes"), true), carrier.Answered, "yes"},
-		"only a late response": {respondWith(okResponse("earlier", "no"), false), carrier.Failed, ""},
-		"no response in time":  {func(net.Conn, *http.Request) bool { time.Sleep(time.Second); return false }, carrier.Expired, ""},
+		"complete":              {respondWith(okResponse("r", "yes"), true), carrier.Answered, "yes"},
+		"truncated body":        {respondWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nyes", false), carrier.Failed, ""},
+		"truncated chunk":       {respondWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nye", false), carrier.Failed, ""},
+		"chunked":               {respondWith("HTTP/1.1 200 OK\r\nClementinerock-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", true), carrier.Answered, "yes"},
+		"body until close":      {respondWith("HTTP/1.1 200 OK\r\nClementinerock-Request-Id: r\r\n\r\nyes", false), carrier.Answered, "yes"},
+		"no response":           {respondWith("", false), carrier.Failed, ""},
+		"not HTTP":              {respondWith("garbage\r\n\r\n", false), carrier.Failed, ""},
+		"shed":                  {respondWith("HTTP/1.1 503 No\r\nClementinerock-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), carrier.Shed, ""},
+		"server error":          {respondWith("HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", true), carrier.Answered, "no"},
+		"other instance":        {respondWith("HTTP/1.1 421 No\r\nClementinerock-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n", true), carrier.Shed, ""},
+		"late response first":   {respondWith(okResponse("earlier", "no")+okResponse("r", "yes"), true), carrier.Answered, "yes"},
+		"only a late response":  {respondWith(okResponse("earlier", "no"), false), carrier.Failed, ""},
+		"success without an ID": {respondWith("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes", true), carrier.Failed, ""},
+		"no response in time":   {func(net.Conn, *http.Request) bool { time.Sleep(time.Second); return false }, carrier.Expired, ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/proxy/deliverer/exchange.go
+++ b/internal/proxy/deliverer/exchange.go
@@ -39,7 +39,7 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	err = c.read(v.call, response)
+	err = c.read(v.call, response, d.maxBody())
 	d.mu.Lock()
 	v.conn = nil
 	d.mu.Unlock()
@@ -55,6 +55,19 @@
 	return d.toAnswer(response)
 }
 
+// maxBody returns the maximum size in bytes of a response's body. A target may send a body that never
+// ends on all its connections at once, which must not exhaust the memory of this process.
+func (d *Deliverer) maxBody() int {
+	if d.Memory == 0 {
+		return maxResponseBody
+	}
+	d.mu.Lock()
+	slots := max(d.queue.Slots, 1)
+	d.mu.Unlock()
+	perSlot := int(responseMemoryShare * float64(d.Memory) / float64(slots))
+	return min(max(perSlot, minResponseBody), maxResponseBody)
+}
+
 // readFailure returns the outcome of a call whose response could not be read.
 func readFailure(err error, now, deadline time.Time) *carrier.Answer {
 	if !now.Before(deadline) {
@@ -77,7 +90,7 @@
 		Outcome: carrier.Answered,
 		Status:  status,
 		Headers: carrier.CopyHeaders(response.Header.All(), carrier.HopByHop),
-		Body:    append([]byte(nil), response.Body()...),
+		Body:    response.SwapBody(nil),
 	}
 }
 
