Frames without their content no longer stop the process

Cause: an answer, call or update frame whose content is null was used without a check, so one malformed frame of another node stopped the whole process (TestMalformedFrames panicked in completeCall). Change: such frames, and answers with an unknown outcome, end the link like other faulty frames.

--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -30,8 +30,10 @@
 // frameBuffers holds buffers for frames to send; all links share them.
 var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
 
-// errClosed reports that the hub did not register a link.
-var errClosed = merry.Sentinel("link closed")
+var (
+	errClosed     = merry.Sentinel("link closed") // the hub did not register a link
+	errIncomplete = merry.Sentinel("frame without its content")
+)
 
 // Server handles the requests of the node at the other end of a link.
 type Server interface {
@@ -282,6 +284,9 @@
 	if err := decMode.Unmarshal(body, &frame); err != nil {
 		return err
 	}
+	if frame.Update == nil {
+		return errIncomplete
+	}
 	l.server.Receive(frame.Update, func() { l.fetch(0) })
 	return nil
 }
@@ -303,6 +308,9 @@
 	if err := decMode.Unmarshal(body, &frame); err != nil {
 		return err
 	}
+	if frame.Call == nil {
+		return errIncomplete
+	}
 	number := frame.Number
 	l.mu.Lock()
 	l.serving[number] = nil
@@ -334,6 +342,9 @@
 	if err := decMode.Unmarshal(body, &frame); err != nil {
 		return err
 	}
+	if frame.Answer == nil || frame.Answer.Outcome > Expired {
+		return errIncomplete
+	}
 	l.mu.Lock()
 	pending, ok := l.calls[frame.Number]
 	delete(l.calls, frame.Number)
