Look for a free slot only as often as one is found

Refusals then come after five exchanges. Change: package prober measures the share of probes that succeed per service and makes 3, 2 or none; after three full queues a request is refused, with the shortest wait as its retry delay.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -13,11 +13,12 @@
 	"clementinerock/internal/proxy/budgeter"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/matcher"
+	"clementinerock/internal/proxy/prober"
 )
 
 const (
 	maxNodeAttempts = 5 // maximum number of attempts per request, including those that reach no target
-	noWaitAttempts  = 3 // number of first attempts that may be sent with NoWait
+	maxFullQueues   = 3 // maximum number of queues per request that refuse it as full
 
 	// maxReasonBytes is the maximum length of a reason in a log line, since a reason may contain
 	// text from a target.
@@ -109,6 +110,7 @@
 
 	mu           sync.Mutex
 	budgets      map[string]*budgeter.Budget // by service
+	probers      map[string]*prober.Prober   // by service
 	maxRemaining map[string]time.Duration    // longest remaining time of a client's request, by route
 }
 
@@ -133,6 +135,32 @@
 	f.budget(service).AddRequest(now)
 }
 
+// probes returns the number of attempts of a request that are to look for a free slot.
+func (f *Forwarder) probes(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.prober(service).Probes(rand.Float64())
+}
+
+// recordProbe records whether an attempt that looked for a free slot found one.
+func (f *Forwarder) recordProbe(service string, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.prober(service).Record(found)
+}
+
+func (f *Forwarder) prober(service string) *prober.Prober {
+	p, ok := f.probers[service]
+	if !ok {
+		if f.probers == nil {
+			f.probers = make(map[string]*prober.Prober)
+		}
+		p = &prober.Prober{}
+		f.probers[service] = p
+	}
+	return p
+}
+
 func (f *Forwarder) allowRetry(p *progress, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,6 +198,8 @@
 	excluded     []string // nodes that are not to be tried again
 	arrivals     int      // attempts that reached a target or may have
 	attempt      uint64   // number of the last attempt, from 1
+	probes       int      // number of attempts left that may be sent with NoWait
+	fullQueues   int      // number of queues that refused the request as full
 	mayHaveRun   bool
 	retryAfter   time.Duration // shortest expected wait of a node that refused or was skipped, or 0
 	reason       string        // reason why the last attempt failed
@@ -196,6 +226,7 @@
 	}
 	p.softDeadline = request.Arrived.Add(softDeadline - clientRoundTrip)
 	f.countRequest(p.service, request.Arrived)
+	p.probes = f.probes(p.service)
 	for range maxNodeAttempts {
 		result, done := f.try(p)
 		if done {
@@ -229,11 +260,15 @@
 	p.attempt++
 	p.node = to.node
 	call := p.call(now, f.Service)
-	call.NoWait = !to.reportedFull && p.attempt <= noWaitAttempts
+	call.NoWait = !to.reportedFull && p.probes > 0
 	answer := f.exchange(p, to, call, remaining)
 	if answer == nil {
 		return Result{Verdict: Disconnected}, true
 	}
+	if call.NoWait {
+		p.probes--
+		f.recordProbe(p.service, answer.Outcome != carrier.Refused)
+	}
 	// A node that only had no free slot may be tried again with a call that may wait.
 	if !call.NoWait || answer.Outcome != carrier.Refused || !answer.Load.Serving {
 		p.excluded = append(p.excluded, to.node)
@@ -257,7 +292,10 @@
 		if answer.RetryAfter > 0 && (p.retryAfter == 0 || answer.RetryAfter < p.retryAfter) {
 			p.retryAfter = answer.RetryAfter
 		}
-		if answer.MaxWaitExceeded {
+		if !call.NoWait && answer.RetryAfter > 0 {
+			p.fullQueues++
+		}
+		if answer.MaxWaitExceeded || p.fullQueues >= maxFullQueues {
 			return p.unansweredResult(), true
 		}
 		return Result{}, false
