Take the usual load of a target for what an old report does not say

Cause: a report's weight halves every 0.3 s, and what it no longer said counted as an idle target. Change: each link keeps the mean busy slots and waits of the states that it received; the score of an old report uses them, has a random share of one service time, and a full target costs one service time, not 0.3.

--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -23,6 +23,7 @@
 	Suspect       bool          // whether the target's node does not answer pings
 	Open          int           // number of calls that this node has open with the target now
 	OpenAtReport  int           // number of calls that this node had open when the last report arrived
+	Usual         Usual         // load that earlier reports showed
 	SendDelay     time.Duration // time to send a large response to this node; 0 for calls without one
 }
 
@@ -37,6 +38,8 @@
 	// candidate is skipped.
 	refusalMargin = 1.3
 
+	usualWeight = 0.2 // weight of one report in the usual load
+
 	// fullReportMaxAge is the age up to which a report that no slot is free is trusted, so that
 	// no call is sent only to ask for a free slot.
 	fullReportMaxAge = 100 * time.Millisecond
@@ -48,24 +51,36 @@
 	crossDomainCost = 1.2    // call to another failure domain
 	failureCost     = 3.0    // shed or failed call, times the ratio of such calls
 	suspectCost     = 1000.0 // suspect node; ranks its target behind others
-	occupancyCost   = 0.3    // full target compared with an empty one, in its own service times
+	occupancyCost   = 1.0    // full target compared with an empty one, in its own service times
+	staleJitter     = 1.0    // random share of a service time for a report that is old
 	jitter          = 0.15   // random share of a score, so that nodes with equal reports differ
 )
 
 // ExpectedWait returns the expected wait of a new call at the candidate. Calls that this node has
-// opened since the last report count in full; the weight of other nodes' calls decays with the age
-// of the report.
+// opened since the last report count in full. What the report says of other nodes' calls gives way to
+// the usual load as the report ages.
 func (c *Candidate) ExpectedWait() time.Duration {
-	weight := math.Exp2(-c.ReportAge.Seconds() / reportHalfLife.Seconds())
+	weight := c.reportWeight()
 	openSince := max(c.Open-c.OpenAtReport, 0)
-	others := weight * float64(max(c.Busy-c.OpenAtReport, 0))
-	atReport := others + float64(c.OpenAtReport)
 	slots := float64(max(c.Slots, 1))
-	excess := max(atReport+float64(openSince)+1-slots, 0)
+	excess := max(c.expectedBusy()+1-slots, 0)
 	if c.ReportedWait > 0 {
 		excess = float64(openSince)
 	}
-	return time.Duration(weight*float64(c.ReportedWait) + excess/slots*float64(c.serviceTime()))
+	wait := weight*float64(c.ReportedWait) + (1-weight)*float64(c.Usual.Wait)
+	return time.Duration(wait + excess/slots*float64(c.serviceTime()))
+}
+
+// reportWeight returns the weight of the last report compared with the usual load, in [0, 1].
+func (c *Candidate) reportWeight() float64 {
+	return math.Exp2(-c.ReportAge.Seconds() / reportHalfLife.Seconds())
+}
+
+// expectedBusy returns the expected number of calls that hold or wait for a slot of the candidate.
+func (c *Candidate) expectedBusy() float64 {
+	weight := c.reportWeight()
+	others := weight*float64(max(c.Busy-c.OpenAtReport, 0)) + (1-weight)*max(c.Usual.Busy-float64(c.Open), 0)
+	return others + float64(max(c.Open, c.OpenAtReport))
 }
 
 // serviceTime returns the expected service time of a call at the candidate.
@@ -81,14 +96,15 @@
 }
 
 // Score returns the expected time to an answer from the candidate in seconds, plus the costs of
-// leaving the failure domain, of failures, of a suspect node and of occupancy. meanServiceTime is
-// the mean service time of the service; random lies in [0, 1).
+// leaving the failure domain, of failures, of a suspect node, of occupancy and of an old report.
+// meanServiceTime is the mean service time of the service; random lies in [0, 1).
 //
-// It is designed for four load patterns. Targets differ in speed, so that equal shares would
+// It is designed for five load patterns. Targets differ in speed, so that equal shares would
 // overload the slow ones. Bursts are shorter than the age of the reports, so that calls that this node
 // has opened since the report must count in full. Hosts become unresponsive while the last report of
 // their node still says that slots are free. Large responses fill the links of hosts whose slots are
-// free.
+// free. Where many callers share many targets, each caller's reports are old; if they then all preferred
+// the same fast targets, most of their calls would find these full.
 func Score(c *Candidate, meanServiceTime time.Duration, random float64) float64 {
 	serviceTime := c.serviceTime().Seconds()
 	score := c.ExpectedWait().Seconds() + serviceTime + c.SendDelay.Seconds()
@@ -99,8 +115,9 @@
 	if c.Suspect {
 		score += suspectCost * meanServiceTime.Seconds()
 	}
-	occupancy := float64(max(c.Busy, c.Open)) / float64(max(c.Slots, 1))
+	occupancy := c.expectedBusy() / float64(max(c.Slots, 1))
 	score += occupancyCost * serviceTime * min(occupancy, 1)
+	score += staleJitter * (1 - c.reportWeight()) * random * meanServiceTime.Seconds()
 	return score * (1 + jitter*(random-0.5))
 }
 
@@ -129,3 +146,15 @@
 	}
 	return best
 }
+
+// Usual is the load that a target's reports usually show.
+type Usual struct {
+	Busy float64       // mean number of calls that hold or wait for a slot
+	Wait time.Duration // mean expected wait of a call; 0 counts while a slot is free
+}
+
+// Add adds a report.
+func (u *Usual) Add(busy int, wait time.Duration) {
+	u.Busy += usualWeight * (float64(busy) - u.Busy)
+	u.Wait += time.Duration(usualWeight * float64(wait-u.Wait))
+}
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -13,6 +13,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"clementinerock/internal/proxy/admitter"
+	"clementinerock/internal/proxy/balancer"
 	"clementinerock/internal/proxy/matcher"
 	"clementinerock/internal/proxy/pacer"
 )
@@ -76,14 +78,15 @@
 	confirmations map[uint64]chan bool    // confirmations requested, by number of the peer's call
 	closed        bool
 
-	state        atomic.Pointer[State] // last state received
-	stateTime    atomic.Int64          // Unix nanoseconds when the state was received
-	openCalls    atomic.Int64          // number of calls sent that have no answer yet
-	openAtReport atomic.Int64          // openCalls when the state was received
-	lastFrame    atomic.Int64          // Unix nanoseconds when the last frame was received
-	pingSent     atomic.Int64          // Unix nanoseconds when the unanswered ping was sent, or 0
-	suspect      atomic.Bool           // this node's ping is overdue, or another node suspects the peer
-	pingOverdue  atomic.Bool           // this node's ping has had no answer for suspectTimeout
+	state        atomic.Pointer[State]     // last state received
+	stateTime    atomic.Int64              // Unix nanoseconds when the state was received
+	usual        atomic.Pointer[usualLoad] // load that the states received usually show
+	openCalls    atomic.Int64              // number of calls sent that have no answer yet
+	openAtReport atomic.Int64              // openCalls when the state was received
+	lastFrame    atomic.Int64              // Unix nanoseconds when the last frame was received
+	pingSent     atomic.Int64              // Unix nanoseconds when the unanswered ping was sent, or 0
+	suspect      atomic.Bool               // this node's ping is overdue, or another node suspects the peer
+	pingOverdue  atomic.Bool               // this node's ping has had no answer for suspectTimeout
 }
 
 func (h *Hub) newLink(conn net.Conn) *Link {
@@ -167,10 +170,40 @@
 	return *l.state.Load(), int(l.openCalls.Load()), int(l.openAtReport.Load()), age
 }
 
+// Usual returns the load of the peer's target that the states received usually show, for calls of a
+// priority.
+func (l *Link) Usual(priority int) balancer.Usual {
+	usual := l.usual.Load()
+	if usual == nil {
+		return balancer.Usual{}
+	}
+	return usual[min(max(priority, 0), len(usual)-1)]
+}
+
+// usualLoad holds the usual load of a target for each reported priority.
+type usualLoad [admitter.ReportedPriorities]balancer.Usual
+
+// after returns the usual load after a further state. The receiver may be nil.
+func (u *usualLoad) after(state *State) *usualLoad {
+	var next usualLoad
+	if u != nil {
+		next = *u
+	}
+	for priority := range next {
+		wait := 0
+		if len(state.Waits) > 0 {
+			wait = state.Waits[min(priority, len(state.Waits)-1)]
+		}
+		next[priority].Add(state.InUse+state.Waiting, time.Duration(wait)*time.Millisecond)
+	}
+	return &next
+}
+
 // setState stores a state received from the peer. If it shows a newer configuration, the hub
 // decides whether to request that at once.
 func (l *Link) setState(state *State) {
 	l.state.Store(state)
+	l.usual.Store(l.usual.Load().after(state))
 	if state.Version > l.server.Version() {
 		l.hub.handleNewerVersion(l)
 	}
--- a/internal/proxy/forwarder/pick.go
+++ b/internal/proxy/forwarder/pick.go
@@ -46,6 +46,7 @@
 		c.SameDomain = l.Peer.FailureDomain == f.FailureDomain
 		c.ReportAge, c.Open, c.OpenAtReport = age, open, openAtReport
 		c.Suspect = l.Suspect()
+		c.Usual = l.Usual(p.waitPriority())
 		if p.Route.Bulk {
 			c.SendDelay = max(time.Duration(state.SendWait)*time.Millisecond-age, 0) +
 				time.Duration(state.SendTime)*time.Millisecond
