Permissions also end while the host is suspended

Cause: a suspended host's monotonic clock stands still, so after seconds of suspension a node still handed calls to a target whose drain it had acknowledged, and ran queued calls for which no one waited any more. Change: package expirer holds the end of a permission on CLOCK_BOOTTIME; the end of a drain and the deadline of a delivery use it at the moment of use. Conclusion: leases are not affected, since no decision rests on one.

--- a/internal/proxy/balancer/stale_test.go
+++ b/internal/proxy/balancer/stale_test.go
@@ -81,7 +81,7 @@
 		wait = target.mean / fleetSlots * time.Duration(len(target.waiting)+1)
 	}
 	v.reportedBusy, v.reportedWait, v.at, v.openAtReport = busy, wait, now, v.open
-	v.Usual.Add(busy, wait)
+	v.Add(busy, wait)
 }
 
 // outcome summarizes the calls of a replayed load.
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"clementinerock/internal/call/deduper"
+	"clementinerock/internal/node/expirer"
 	"clementinerock/internal/proxy/admitter"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/pacer"
@@ -63,14 +64,15 @@
 	DrainGrace    time.Duration // time for which a target that drains or has left still gets calls
 	Uplink        *pacer.Gate   // sends the responses of the target to other hosts
 	Memory        int64         // memory limit of this process in bytes; 0 if there is none
+	Clock         expirer.Clock // nil for the clock of the host
 
 	mu               sync.Mutex // guards the fields below
 	queue            admitter.Queue
 	target           tracker.Report
 	coldEnd          time.Time // time until which the target is still slow after its start
 	stopping         bool
-	drainGraceEnd    time.Time // end of the DrainGrace of the target
-	unreachableUntil time.Time // time until which the target counts as unreachable
+	drainGrace       expirer.Expiry // end of the DrainGrace of the target
+	unreachableUntil time.Time      // time until which the target counts as unreachable
 	idle             []*conn
 	attempts         deduper.Deduper
 	failureRatio     float64                   // moving average of the share of shed and failed calls
@@ -85,8 +87,9 @@
 	answer   func(*carrier.Answer)
 	conn     *conn // connection that carries the call; nil unless the target runs it
 	canceled bool
-	timer    *time.Timer // calls refuseOverdue; nil if the call was not queued
-	unsend   func()      // ends the announcement of a large response; nil for other calls
+	timer    *time.Timer    // calls refuseOverdue; nil if the call was not queued
+	expires  expirer.Expiry // end of the time for which the caller waits
+	unsend   func()         // ends the announcement of a large response; nil for other calls
 }
 
 // Update applies the newest accepted report of the target.
@@ -99,11 +102,11 @@
 	}
 	changed := report.State != d.target.State || report.ID != d.target.ID || report.Slots != d.target.Slots
 	if d.target.State == tracker.Serving && report.State != tracker.Serving && report.ID == d.target.ID {
-		d.drainGraceEnd = now.Add(d.DrainGrace)
+		d.drainGrace = d.Clock.In(d.DrainGrace)
 		time.AfterFunc(d.DrainGrace, d.endDrainGrace)
 	}
 	if report.State == tracker.Serving {
-		d.drainGraceEnd = time.Time{}
+		d.drainGrace = expirer.Expiry{}
 	}
 	d.target = report
 	d.coldEnd = now.Add(report.Cold)
@@ -161,7 +164,7 @@
 	switch {
 	case d.stopping:
 		return "node stopping"
-	case d.target.State != tracker.Serving && !now.Before(d.drainGraceEnd):
+	case d.target.State != tracker.Serving && d.Clock.Passed(d.drainGrace):
 		return "target " + d.target.State.String()
 	case now.Before(d.unreachableUntil):
 		return "target unreachable"
@@ -220,6 +223,7 @@
 	v := &delivery{call: call, answer: answer}
 	v.Class = admitter.Class{Priority: call.Priority, Nested: call.Nested, ClientRetry: call.ClientRetry}
 	v.Deadline = now.Add(call.Remaining - minRemaining)
+	v.expires = d.Clock.In(call.Remaining)
 	v.SoftDeadline = now.Add(call.SoftDeadline)
 	v.LatencyObjective = call.LatencyObjective
 	v.Arrived = now
@@ -428,6 +432,9 @@
 	if reason == "" && v.canceled {
 		reason = "given up"
 	}
+	if reason == "" && d.Clock.Passed(v.expires) {
+		reason = "deadline passed"
+	}
 	if reason == "" && !v.call.Idempotent && !d.attempts.Begin(now, attemptKey(v.call.ID, v.call.Attempt)) {
 		d.mu.Unlock()
 		return &carrier.Answer{Outcome: carrier.Unknown, Reason: "attempt seen before"}
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -289,12 +289,7 @@
 	case carrier.Answered:
 		return Result{Verdict: Answered, Answer: answer}, true
 	case carrier.Refused:
-		if answer.RetryAfter > 0 && (p.retryAfter == 0 || answer.RetryAfter < p.retryAfter) {
-			p.retryAfter = answer.RetryAfter
-		}
-		if !call.NoWait && answer.RetryAfter > 0 {
-			p.fullQueues++
-		}
+		p.recordRefusal(call, answer)
 		if answer.MaxWaitExceeded || p.fullQueues >= maxFullQueues {
 			return p.unansweredResult(), true
 		}
@@ -313,6 +308,19 @@
 	return Result{}, false
 }
 
+// recordRefusal keeps the shortest expected wait and counts the queues that were full.
+func (p *progress) recordRefusal(call *carrier.Call, answer *carrier.Answer) {
+	if answer.RetryAfter <= 0 {
+		return // the refusal does not come from a queue
+	}
+	if p.retryAfter == 0 || answer.RetryAfter < p.retryAfter {
+		p.retryAfter = answer.RetryAfter
+	}
+	if !call.NoWait {
+		p.fullQueues++
+	}
+}
+
 // unansweredResult returns the result of a request that has no answer and is not tried again.
 func (p *progress) unansweredResult() Result {
 	if p.mayHaveRun {
