Write a node's entry once, and renew and list less often

Cause: at its start each node lists all entries while its own is being written. Change: a listing shows that the entry is missing only if it was requested 5 s or more after the write; a lapsed lease is still noticed by its renewal. The lease lasts 60 s instead of 30 s and is renewed every 18 s; the pauses between listings grow threefold, not twofold. Ruled out: registering only a few nodes per failure domain, since each node's share of the retry budget rests on the number of all nodes, which the listing tells. Conclusion: an unneeded read per start is gone; grant, write and revocation remain.

--- a/internal/proxy/finder/entry.go
+++ b/internal/proxy/finder/entry.go
@@ -95,6 +95,8 @@
 		return err
 	}
 	f.lease = lease
+	now := time.Now()
+	f.entryWritten.Store(&now)
 	return nil
 }
 
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -19,11 +19,16 @@
 )
 
 const (
-	leaseTTL      = 30 * time.Second
-	renewInterval = 9 * time.Second // mean interval between lease renewals
+	leaseTTL      = 60 * time.Second
+	renewInterval = 18 * time.Second // mean interval between lease renewals
 
-	firstListInterval = 300 * time.Millisecond // first interval between listings; then doubles
-	maxListInterval   = 25 * time.Second
+	firstListInterval  = 300 * time.Millisecond // first interval between listings
+	listIntervalGrowth = 3                      // factor between two intervals
+	maxListInterval    = 25 * time.Second
+
+	// maxListingAge is the age up to which a listing may be stale. An entry written later need not be
+	// in it.
+	maxListingAge = 5 * time.Second
 
 	minBackoff = 100 * time.Millisecond // first pause after a failed call; then doubles
 	maxBackoff = time.Second
@@ -85,12 +90,13 @@
 	Hub   *carrier.Hub
 
 	stop           chan struct{}
-	entryMissing   chan struct{} // signals that a listing did not contain this node's entry
-	entryDone      chan struct{} // closed when maintainEntry has returned
-	lease          uint64        // lease of this node's entry
-	unusedLease    uint64        // granted lease that no key is bound to, or 0
-	entryMayExist  bool          // this node's entry exists or may exist
-	connected      atomic.Bool   // this node is a reader and its last call to the store succeeded
+	entryMissing   chan struct{}             // signals that a listing did not contain this node's entry
+	entryDone      chan struct{}             // closed when maintainEntry has returned
+	lease          uint64                    // lease of this node's entry
+	unusedLease    uint64                    // granted lease that no key is bound to, or 0
+	entryMayExist  bool                      // this node's entry exists or may exist
+	entryWritten   atomic.Pointer[time.Time] // time of the last successful write of this node's entry
+	connected      atomic.Bool               // this node is a reader and its last call to the store succeeded
 	isReader       bool
 	lastReaderSeen time.Time // last time that a peer in the failure domain read the store
 }
@@ -300,22 +306,23 @@
 func (f *Finder) pollEntries() {
 	interval := firstListInterval
 	for {
+		asked := time.Now()
 		items, err := f.Store.Range(platform.PrefixNodes)
 		if err == nil {
-			f.processEntries(items)
+			f.processEntries(items, asked)
 		} else {
 			f.Log.Info("store: listing entries failed", recorder.Err(err))
 		}
 		if !f.sleep(jitter(interval)) {
 			return
 		}
-		interval = min(2*interval, maxListInterval)
+		interval = min(listIntervalGrowth*interval, maxListInterval)
 	}
 }
 
 // processEntries passes the entries of all nodes to the sink. If this node's own entry is not
-// among them, it is written again.
-func (f *Finder) processEntries(items []platform.Item) {
+// among them although it was written well before the listing was requested, it is written again.
+func (f *Finder) processEntries(items []platform.Item, asked time.Time) {
 	own := false
 	peers := make([]carrier.Peer, 0, len(items))
 	for i := range items {
@@ -329,7 +336,8 @@
 		peers = append(peers, peer)
 	}
 	f.Sink.AddPeers(peers)
-	if !own {
+	written := f.entryWritten.Load()
+	if !own && written != nil && asked.Sub(*written) > maxListingAge {
 		select {
 		case f.entryMissing <- struct{}{}:
 		default: // signaled already
--- a/internal/proxy/finder/finder_test.go
+++ b/internal/proxy/finder/finder_test.go
@@ -122,3 +122,34 @@
 		})
 	}
 }
+
+// nodes is a Sink that ignores everything.
+type nodes struct{}
+
+func (nodes) ReceiveConfig([]byte)    {}
+func (nodes) AddPeers([]carrier.Peer) {}
+func (nodes) Version() uint64         { return 0 }
+
+// TestMissingEntry replays the listings of a start: they are stale and lack the entry that was just
+// written. Only a later listing shows that the entry is really missing.
+func TestMissingEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		written *time.Time
+		asked   time.Time
+		missing bool
+	}{
+		"not written yet":            {nil, now, false},
+		"written during the listing": {&now, now.Add(-time.Millisecond), false},
+		"written a moment before":    {&now, now.Add(time.Second), false},
+		"written well before":        {&now, now.Add(maxListingAge + time.Second), true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := &Finder{Log: zap.NewNop(), Sink: nodes{}, entryMissing: make(chan struct{}, 1)}
+			f.entryWritten.Store(test.written)
+			f.processEntries(nil, test.asked)
+			assert.Equal(t, len(f.entryMissing) == 1, test.missing)
+		})
+	}
+}
