Send large configurations in pieces

Cause: an update of some 1,300 routes is one frame of 200 KB. On a link of 14 Mbit/s it keeps pongs and answers waiting for over 100 ms each, and three requesters at once for longer than the 300 ms after which a node is suspected; a request is repeated after 250 ms although the update is under way. Change: updates larger than a piece are paced like answers, before them in priority; a request is ignored while one is sent on the link, and each piece that arrives puts off the next request. Figures: TestLargeUpdate: a lookup beside 1,500 routes on 12 Mbit/s takes less than 60 ms, the update arrives once and whole. It passes with the pieces; without them loopback has no narrow link to show.

--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -308,3 +308,11 @@
 	h.mu.Unlock()
 	go l.fetch(h.Server.Version())
 }
+
+// recordFetchProgress records that a part of a requested configuration has arrived, so that it is not
+// requested again from another peer.
+func (h *Hub) recordFetchProgress() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fetchTime = time.Now()
+}
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -70,6 +70,9 @@
 
 	writeMu sync.Mutex // held while a frame is written
 
+	updateSending  atomic.Bool // an update is being sent in pieces
+	updateReceived []byte      // pieces of an update received so far; only the reading goroutine uses it
+
 	mu            sync.Mutex
 	lastNumber    uint64                  // number of the last call or void request sent
 	calls         map[uint64]*pendingCall // calls sent, by number
@@ -289,6 +292,8 @@
 		return l.update(body)
 	case kindUpdate:
 		return l.receiveUpdate(body)
+	case kindUpdatePiece:
+		return l.receiveUpdatePiece(body)
 	case kindVoid, kindVoided:
 		return l.handleVoid(frameKind, body)
 	case kindConfirmRequest, kindConfirmReply:
@@ -306,7 +311,7 @@
 		return err
 	}
 	if update := l.server.UpdateSince(frame.BaseVersion); update != nil {
-		l.sendOrClose(kindUpdate, &updateFrame{Update: update})
+		return l.sendUpdate(update)
 	}
 	return nil
 }
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -29,6 +29,7 @@
 	kindConfirmReply   // the sender's reply to that request
 	kindSuspect        // another node does not answer pings
 	kindPiece          // a part of the body of an answer that follows
+	kindUpdatePiece    // a part of an encoded update
 )
 
 // Call is one attempt of a request at a target.
@@ -198,6 +199,14 @@
 	Update *matcher.Update
 }
 
+// updatePieceFrame carries a part of the encoded body of an update frame. The parts of one update follow
+// one another.
+type updatePieceFrame struct {
+	_    struct{} `cbor:",toarray"`
+	Size int      // size in bytes of the whole encoded body
+	Data []byte
+}
+
 // decMode decodes the bodies of frames.
 var decMode = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 17}.DecMode()
--- a/internal/proxy/carrier/piece.go
+++ b/internal/proxy/carrier/piece.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"clementinerock/internal/proxy/matcher"
 )
 
 // errNotWanted reports that the caller does not wait for an answer any more.
@@ -77,3 +80,58 @@
 	p.body = append(p.body, frame.Data...)
 	return nil
 }
+
+// updatePriority and updateTime order the pieces of updates: before all answers, and one update after the
+// other.
+const (
+	updatePriority = -1
+	updateTime     = time.Second
+)
+
+// sendUpdate sends an update, in pieces if it is large. While it does, further requests of the peer are
+// ignored.
+//
+// It is designed for large configurations: many nodes request one at once, and a whole one would keep the
+// answers and pings of a host with a narrow link waiting until other nodes suspect it.
+func (l *Link) sendUpdate(update *matcher.Update) error {
+	encoded, err := cbor.Marshal(&updateFrame{Update: update})
+	if err != nil {
+		return merry.Prepend(err, "encode update")
+	}
+	if len(encoded) <= l.uplink.Piece() {
+		return l.send(kindUpdate, cbor.RawMessage(encoded))
+	}
+	if l.updateSending.Swap(true) {
+		return nil
+	}
+	go func() {
+		defer l.updateSending.Store(false)
+		err := l.uplink.Send(encoded, updatePriority, time.Now().Add(updateTime), func(piece []byte) error {
+			_, err := l.write(kindUpdatePiece, &updatePieceFrame{Size: len(encoded), Data: piece})
+			return err
+		})
+		if err != nil {
+			l.Close()
+		}
+	}()
+	return nil
+}
+
+// receiveUpdatePiece stores a piece of an update and handles the update when it is complete.
+func (l *Link) receiveUpdatePiece(body []byte) error {
+	var frame updatePieceFrame
+	if err := decMode.Unmarshal(body, &frame); err != nil {
+		return err
+	}
+	if frame.Size > maxFrameSize || len(l.updateReceived)+len(frame.Data) > frame.Size {
+		return merry.Errorf("piece of %d bytes exceeds its update of %d bytes", len(frame.Data), frame.Size)
+	}
+	l.hub.recordFetchProgress()
+	l.updateReceived = append(l.updateReceived, frame.Data...)
+	if len(l.updateReceived) < frame.Size {
+		return nil
+	}
+	encoded := l.updateReceived
+	l.updateReceived = nil
+	return l.receiveUpdate(encoded)
+}
--- a/internal/proxy/carrier/piece_test.go
+++ b/internal/proxy/carrier/piece_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"clementinerock/internal/proxy/matcher"
 	"clementinerock/internal/proxy/pacer"
 )
 
@@ -113,3 +115,54 @@
 		})
 	}
 }
+
+// updateServer is a testServer with an update.
+type updateServer struct {
+	testServer
+	update   *matcher.Update
+	received chan *matcher.Update
+}
+
+func (s *updateServer) UpdateSince(uint64) *matcher.Update       { return s.update }
+func (s *updateServer) Receive(update *matcher.Update, _ func()) { s.received <- update }
+
+// largeUpdate returns an update of the size that the big configurations of the large deployment have.
+func largeUpdate() *matcher.Update {
+	update := &matcher.Update{Version: 7}
+	for i := range 1500 {
+		name := fmt.Sprintf("route-%d-with-a-long-name", i)
+		update.Routes = append(update.Routes, matcher.Route{
+			Name: name, Host: name + ".example", Prefix: "/" + name + "/",
+			WeightedServices: []matcher.WeightedService{{Service: "service", Weight: 1}},
+		})
+	}
+	return update
+}
+
+// TestLargeUpdate requests a large configuration over a narrow link. It must arrive whole, and a call beside
+// it must not wait for all of it.
+func TestLargeUpdate(t *testing.T) {
+	server := &updateServer{testServer: testServer{serve: photos, canceled: make(chan string, 8)}, update: largeUpdate()}
+	far := startHub(t, "far", &server.testServer)
+	far.Server, far.Uplink = server, &pacer.Gate{Rate: narrowLink}
+	near := startHub(t, "near", &testServer{canceled: make(chan string, 8)})
+	client := &updateServer{testServer: testServer{canceled: make(chan string, 8)}, received: make(chan *matcher.Update, 4)}
+	near.Server = client
+	link, stop, err := near.DialTemporary(far.Self.Address)
+	assert.NilError(t, err)
+	defer stop()
+	link.fetch(0)
+	link.fetch(0) // a second request while the update is being sent
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	price := link.Exchange(&Call{ID: []byte("price"), Idempotent: true, Remaining: time.Second}, nil, time.Second)
+	took := time.Since(began)
+	assert.Equal(t, price.Outcome, Answered)
+	assert.Equal(t, len(client.received), 0, "the update ended before the lookup")
+	assert.Assert(t, took < 60*time.Millisecond, "the lookup took %s", took)
+	received := <-client.received
+	assert.Equal(t, len(received.Routes), len(server.update.Routes))
+	assert.DeepEqual(t, received.Routes[1499].Host, server.update.Routes[1499].Host)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(client.received), 0, "the update was sent twice")
+}
