Tests listen on a loopback address of their own

Change: the tests of runner and carrier that choose a port this way listen on 127.x.y.z by process ID; outgoing connections take their ports on 127.0.0.1.

--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -1,8 +1,10 @@
 package carrier
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -40,9 +42,16 @@
 func (s *testServer) UpdateSince(uint64) *matcher.Update { return nil }
 func (s *testServer) Receive(*matcher.Update, func())    {}
 
+// ownLoopback returns a loopback IP address that no other running test uses. Ports of outgoing connections
+// are taken on 127.0.0.1, so a free port stays free until the test listens on it.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>15)%100, (pid>>7)%256, 1+pid%128)
+}
+
 func startHub(t *testing.T, name string, s *testServer) *Hub {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", ownLoopback()+":0")
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,9 +41,16 @@
 	hosts []*host
 }
 
+// ownLoopback returns a loopback IP address that no other running test uses. Ports of outgoing connections
+// are taken on 127.0.0.1, so a free port stays free until the test listens on it.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>15)%100, (pid>>7)%256, 1+pid%128)
+}
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", ownLoopback()+":0")
 	assert.NilError(t, err)
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
