Reuse the memory of choices, frames and responses

Change: pools for choices, response buffers and frames up to 16 KB; frames up to 2 KB are read into the same memory; the maps of the periodic checks are kept.

--- a/internal/proxy/acceptor/response.go
+++ b/internal/proxy/acceptor/response.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -63,6 +64,9 @@
 	return a.write(c, response, urgency) && !closes
 }
 
+// writers holds unused write buffers.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, initialBuffer) }}
+
 // urgency orders the large responses that are being sent.
 type urgency struct {
 	priority int       // 0 is the most urgent
@@ -74,7 +78,15 @@
 	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return false
 	}
-	out := bufio.NewWriterSize(c, initialBuffer)
+	out, ok := writers.Get().(*bufio.Writer)
+	if !ok {
+		panic("acceptor: the pool holds something else than writers")
+	}
+	out.Reset(c)
+	defer func() {
+		out.Reset(nil)
+		writers.Put(out)
+	}()
 	body := response.Body()
 	if !response.SkipBody && len(body) > a.Uplink.Piece() {
 		return writePaced(c, out, response, func(write func([]byte) error) error {
--- a/internal/proxy/carrier/dialing.go
+++ b/internal/proxy/carrier/dialing.go
@@ -84,7 +84,11 @@
 func (h *Hub) dialMissing(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	linked := make(map[string]struct{}, len(h.links))
+	if h.linked == nil {
+		h.linked = make(map[string]struct{}, len(h.links))
+	}
+	linked := h.linked
+	clear(linked)
 	for _, l := range h.links {
 		linked[l.Peer.Address] = struct{}{}
 	}
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -40,6 +40,7 @@
 	allLinks       map[*Link]struct{}    // all links that are up, including redundant ones
 	links          []*Link               // preferred link of each node; replaced, never changed
 	linksByService map[string][]*Link    // the same links, by the service of the node's target
+	linked         map[string]struct{}   // memory for the addresses of linked peers
 	closed         bool
 	helloCount     int       // number of hellos sent by connect
 	fetchVersion   uint64    // newest version that was requested
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 	"math/rand/v2"
@@ -11,7 +12,6 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/fxamacker/cbor/v2"
 
 	"clementinerock/internal/proxy/admitter"
 	"clementinerock/internal/proxy/balancer"
@@ -23,6 +23,8 @@
 	frameHeaderSize = 5        // bytes: the body's length (4) and the kind (1)
 	maxFrameSize    = 96 << 20 // bytes; fits a call with the largest body that clients may send
 	readBufferSize  = 2 << 10  // bytes
+	maxPooledFrame  = 16 << 10 // bytes; larger buffers are not kept
+	reusedFrameSize = 2 << 10  // bytes; the memory for smaller frames is reused
 	writeTimeout    = time.Second
 	helloTimeout    = time.Second
 	voidTimeout     = 500 * time.Millisecond
@@ -30,7 +32,7 @@
 )
 
 // frameBuffers holds buffers for frames to send; all links share them.
-var frameBuffers = sync.Pool{New: func() any { return new([]byte) }}
+var frameBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 var (
 	errClosed     = merry.Sentinel("link closed") // the hub did not register a link
@@ -70,6 +72,7 @@
 
 	writeMu sync.Mutex // held while a frame is written
 
+	frame          []byte      // memory for the body of the frame being read
 	updateSending  atomic.Bool // an update is being sent in pieces
 	updateReceived []byte      // pieces of an update received so far; only the reading goroutine uses it
 
@@ -224,24 +227,31 @@
 
 // write writes one frame and returns its size in bytes.
 func (l *Link) write(frameKind kind, body any) (int, error) {
-	encoded, err := cbor.Marshal(body)
-	if err != nil {
+	frame, ok := frameBuffers.Get().(*bytes.Buffer)
+	if !ok {
+		panic("carrier: the pool holds something else than buffers")
+	}
+	defer func() {
+		if frame.Cap() <= maxPooledFrame {
+			frameBuffers.Put(frame)
+		}
+	}()
+	frame.Reset()
+	frame.Write(make([]byte, frameHeaderSize))
+	if err := encMode.MarshalToBuffer(body, frame); err != nil {
 		return 0, merry.Prepend(err, "encode frame")
 	}
-	frame := frameBuffers.Get().(*[]byte)
-	defer frameBuffers.Put(frame)
-	*frame = binary.BigEndian.AppendUint32((*frame)[:0], uint32(len(encoded)))
-	*frame = append(*frame, byte(frameKind))
-	*frame = append(*frame, encoded...)
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(frame.Len()-frameHeaderSize))
+	frame.Bytes()[frameHeaderSize-1] = byte(frameKind)
 	l.writeMu.Lock()
 	defer l.writeMu.Unlock()
 	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return l.conn.Write(*frame)
+	return l.conn.Write(frame.Bytes())
 }
 
-// read reads one frame.
+// read reads one frame. Its body is valid until the next call; decoded frames do not refer to it.
 func (l *Link) read() (kind, []byte, error) {
 	var header [frameHeaderSize]byte
 	if _, err := io.ReadFull(l.reader, header[:]); err != nil {
@@ -251,7 +261,14 @@
 	if size > maxFrameSize {
 		return 0, nil, merry.Errorf("frame of %d bytes is too large", size)
 	}
-	body := make([]byte, size)
+	body := l.frame
+	if size > reusedFrameSize {
+		body = make([]byte, size)
+	} else if body == nil {
+		body = make([]byte, reusedFrameSize)
+		l.frame = body
+	}
+	body = body[:size]
 	_, err := io.ReadFull(l.reader, body)
 	return kind(header[frameHeaderSize-1]), body, err
 }
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -207,6 +207,15 @@
 	Data []byte
 }
 
+// encMode encodes the bodies of frames.
+var encMode = func() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // decMode decodes the bodies of frames.
 var decMode = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 17}.DecMode()
--- a/internal/proxy/finder/finder.go
+++ b/internal/proxy/finder/finder.go
@@ -98,7 +98,8 @@
 	entryWritten   atomic.Pointer[time.Time] // time of the last successful write of this node's entry
 	connected      atomic.Bool               // this node is a reader and its last call to the store succeeded
 	isReader       bool
-	lastReaderSeen time.Time // last time that a peer in the failure domain read the store
+	domain         map[carrier.Peer]bool // memory for the responding peers of the failure domain
+	lastReaderSeen time.Time             // last time that a peer in the failure domain read the store
 }
 
 // Start runs the finder until the clean-up function is called, which also removes this
@@ -186,7 +187,11 @@
 // role.
 func (f *Finder) updateRole() bool {
 	now := time.Now()
-	peers := make(map[carrier.Peer]bool)
+	if f.domain == nil {
+		f.domain = make(map[carrier.Peer]bool)
+	}
+	peers := f.domain
+	clear(peers)
 	for _, l := range f.Hub.Links() {
 		if l.Peer.FailureDomain == f.Self.FailureDomain && l.SinceLastFrame(now) < readerTimeout {
 			state, _, _, _ := l.State()
--- a/internal/proxy/forwarder/pick.go
+++ b/internal/proxy/forwarder/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"clementinerock/internal/proxy/admitter"
@@ -16,12 +17,32 @@
 	reportedFull bool // the target's state is recent and says that no slot is free
 }
 
+// choice is the memory for one choice among many destinations.
+type choice struct {
+	nodes      []destination
+	candidates []balancer.Candidate
+}
+
+// choices holds unused memory, since a choice among hundreds of targets takes kilobytes.
+var choices = sync.Pool{New: func() any { return new(choice) }}
+
+// release returns the memory of a choice, without the links that it refers to.
+func (c *choice) release() {
+	clear(c.nodes)
+	c.nodes, c.candidates = c.nodes[:0], c.candidates[:0]
+	choices.Put(c)
+}
+
 // pick chooses the destination of the next attempt among the nodes that are not excluded. It
 // returns false if there is none.
 func (f *Forwarder) pick(p *progress) (destination, bool) {
 	links := f.Hub.LinksTo(p.service)
-	nodes := make([]destination, 0, len(links)+1)
-	candidates := make([]balancer.Candidate, 0, len(links)+1)
+	memory, ok := choices.Get().(*choice)
+	if !ok {
+		panic("forwarder: the pool holds something else than choices")
+	}
+	defer memory.release()
+	nodes, candidates := memory.nodes, memory.candidates
 	if p.service == f.Service && !p.isExcluded(f.Hub.Self.Node) {
 		if state := f.Local.State(); state.Serving {
 			nodes = append(nodes, destination{node: f.Hub.Self.Node})
@@ -53,6 +74,7 @@
 		}
 		candidates = append(candidates, c)
 	}
+	memory.nodes, memory.candidates = nodes, candidates
 	if !p.nested {
 		nodes, candidates = p.skipLikelyRefusals(nodes, candidates)
 	}
