Leave time for the second link of a download

Cause: a target's node admitted downloads until they would end at their soft deadline on its own link. They then pass the link of the client's node. Change: a download waits for the host's link for half of its latency objective at most. Figures: TestDownloadsOnABusyLink, which now counts the second link, fails before and passes after, with the link in use for more than 9.5 of 10 s.

--- a/internal/proxy/admitter/admitter.go
+++ b/internal/proxy/admitter/admitter.go
@@ -105,6 +105,9 @@
 	firstAttemptShare = 0.15
 	clientRetryShare  = 0.2
 
+	// maxLinkShare is the maximum wait for the link of the host, as a share of the latency objective.
+	maxLinkShare = 0.5
+
 	// basePriority is the most urgent priority whose maximum expected wait is one
 	// firstAttemptShare.
 	// Each step towards priority 0 adds one more.
@@ -226,11 +229,15 @@
 
 // linkTooBusy reports whether a large response would be late because other large responses are to be
 // sent before it. Such a job is refused even if a slot is free, since running it would use the slot for
-// a response that only makes all later ones late as well.
+// a response that only makes all later ones late as well. The response has to pass the link of another
+// node after this one, so its wait here takes only a share of the latency objective.
 func (q *Queue) linkTooBusy(job *Job, now time.Time) bool {
 	if job.SendWait <= job.SendTime {
 		return false
 	}
+	if job.SendWait > time.Duration(maxLinkShare*float64(job.LatencyObjective)) {
+		return true
+	}
 	finish := now.Add(q.correctedWait(job.rank) + q.rankServiceTime(job.rank) + job.SendWait + job.SendTime)
 	return finish.After(job.SoftDeadline)
 }
--- a/internal/proxy/admitter/link_test.go
+++ b/internal/proxy/admitter/link_test.go
@@ -36,7 +36,8 @@
 		admitted++
 		q.Done(job, serviceTime, now)
 		free = now.Add(max(free.Sub(now), 0) + sendTime)
-		if free.Add(serviceTime).After(job.SoftDeadline) {
+		// The response also passes the link of the client's node, where it meets others.
+		if free.Add(serviceTime + 2*sendTime).After(job.SoftDeadline) {
 			late++
 		}
 	}
