--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -48,12 +48,22 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>15)%100, (pid>>7)%256, 1+pid%128)
 }
 
+// usedAddresses holds the addresses that freeAddress has returned. The system may choose the same free port
+// again while no one listens on it yet.
+var usedAddresses sync.Map
+
+// freeAddress returns an address that nothing listens on and that it has not returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", ownLoopback()+":0")
-	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp4", ownLoopback()+":0")
+		assert.NilError(t, err)
+		address := listener.Addr().String()
+		assert.NilError(t, listener.Close())
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
+	}
 }
 
 // startMesh starts a store and, for each of the given services, a host with a target of the service.
