Send a refused client back to the service that refused it

A client that is refused returns as a new request and was drawn again, so half of what a full service refused moved to the other at each return. Change: package splitter; a returning request goes to a service of its route that refused one. Conclusion: weights hold for requests with their returns; what does not fit is refused, not moved.

--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -14,11 +14,13 @@
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/matcher"
 	"clementinerock/internal/proxy/prober"
+	"clementinerock/internal/proxy/splitter"
 )
 
 const (
-	maxNodeAttempts = 5 // maximum number of attempts per request, including those that reach no target
-	maxFullQueues   = 3 // maximum number of queues per request that refuse it as full
+	maxNodeAttempts = 5    // maximum number of attempts per request, including those that reach no target
+	maxSplitters    = 1024 // maximum number of routes whose refusals are kept
+	maxFullQueues   = 3    // maximum number of queues per request that refuse it as full
 
 	// maxReasonBytes is the maximum length of a reason in a log line, since a reason may contain
 	// text from a target.
@@ -109,9 +111,10 @@
 	Budget        func() budgeter.Budget // returns an unused retry budget with this node's share
 
 	mu           sync.Mutex
-	budgets      map[string]*budgeter.Budget // by service
-	probers      map[string]*prober.Prober   // by service
-	maxRemaining map[string]time.Duration    // longest remaining time of a client's request, by route
+	budgets      map[string]*budgeter.Budget   // by service
+	probers      map[string]*prober.Prober     // by service
+	splitters    map[string]*splitter.Splitter // by route that splits its traffic
+	maxRemaining map[string]time.Duration      // longest remaining time of a client's request, by route
 }
 
 // budget returns the retry budget of a service with this node's current share.
@@ -135,6 +138,38 @@
 	f.budget(service).AddRequest(now)
 }
 
+// chooseService chooses the service of a request by the weights of its route.
+func (f *Forwarder) chooseService(p *progress) string {
+	if len(p.Route.WeightedServices) == 1 {
+		return p.Route.WeightedServices[0].Service
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.splitter(p.Route.Name).Choose(p.Route, p.clientRetry, rand.Float64(), p.Arrived)
+}
+
+// recordRefused records that the client of a request with several services was refused.
+func (f *Forwarder) recordRefused(p *progress) {
+	if len(p.Route.WeightedServices) == 1 || p.nested {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.splitter(p.Route.Name).Refused(p.service, time.Now())
+}
+
+func (f *Forwarder) splitter(route string) *splitter.Splitter {
+	s, ok := f.splitters[route]
+	if !ok {
+		if len(f.splitters) >= maxSplitters || f.splitters == nil {
+			f.splitters = make(map[string]*splitter.Splitter)
+		}
+		s = &splitter.Splitter{}
+		f.splitters[route] = s
+	}
+	return s
+}
+
 // probes returns the number of attempts of a request that are to look for a free slot.
 func (f *Forwarder) probes(service string) int {
 	f.mu.Lock()
@@ -211,7 +246,6 @@
 	limit := min(request.Remaining, request.Route.Timeout)
 	p := &progress{
 		Request:  request,
-		service:  request.Route.Choose(rand.Float64()),
 		deadline: request.Arrived.Add(limit),
 		priority: request.Route.Priority,
 	}
@@ -225,16 +259,19 @@
 		softDeadline = max(softDeadline, time.Duration(clientRetryObjective*float64(request.Route.SoftDeadline)))
 	}
 	p.softDeadline = request.Arrived.Add(softDeadline - clientRoundTrip)
+	p.service = f.chooseService(p)
 	f.countRequest(p.service, request.Arrived)
 	p.probes = f.probes(p.service)
-	for range maxNodeAttempts {
-		result, done := f.try(p)
-		if done {
-			f.logResult(p, result)
-			return result
-		}
+	result, done := Result{}, false
+	for i := 0; i < maxNodeAttempts && !done; i++ {
+		result, done = f.try(p)
+	}
+	if !done {
+		result = p.unansweredResult()
+	}
+	if result.Verdict == Refused {
+		f.recordRefused(p)
 	}
-	result := p.unansweredResult()
 	f.logResult(p, result)
 	return result
 }
