--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,8 +23,9 @@
 	mu       sync.Mutex
 	serve    func(call *Call, answer func(*Answer))
 	voided   map[string]bool
-	canceled chan string // IDs of canceled calls
-	uplink   *pacer.Gate // paces the answers; nil for no limit
+	canceled chan string   // IDs of canceled calls
+	uplink   *pacer.Gate   // paces the answers; nil for no limit
+	received atomic.Uint64 // version of the last update received
 }
 
 func (s *testServer) Serve(call *Call, answer func(*Answer)) func() {
@@ -40,7 +42,9 @@
 func (s *testServer) State() State                       { return State{Serving: true, Slots: 1} }
 func (s *testServer) Version() uint64                    { return 0 }
 func (s *testServer) UpdateSince(uint64) *matcher.Update { return nil }
-func (s *testServer) Receive(*matcher.Update, func())    {}
+func (s *testServer) Receive(update *matcher.Update, _ func()) {
+	s.received.Store(update.Version)
+}
 
 // ownLoopback returns a loopback IP address that no other running test uses. Ports of outgoing connections
 // are taken on 127.0.0.1, so a free port stays free until the test listens on it.
