--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -83,13 +83,13 @@
 // delivery is one call and its progress.
 type delivery struct {
 	admitter.Job
-	call     *carrier.Call
-	answer   func(*carrier.Answer)
-	conn     *conn // connection that carries the call; nil unless the target runs it
-	canceled bool
-	timer    *time.Timer    // calls refuseOverdue; nil if the call was not queued
-	expires  expirer.Expiry // end of the time for which the caller waits
-	unsend   func()         // ends the announcement of a large response; nil for other calls
+	call      *carrier.Call
+	answer    func(*carrier.Answer)
+	conn      *conn // connection that carries the call; nil unless the target runs it
+	canceled  bool
+	timer     *time.Timer    // calls refuseOverdue; nil if the call was not queued
+	expires   expirer.Expiry // end of the time for which the caller waits
+	unreserve func()         // ends the reservation of the uplink for a large response; nil for other calls
 }
 
 // Update applies the newest accepted report of the target.
@@ -257,7 +257,7 @@
 	}
 	if v.call.Bulk {
 		v.SendWait, v.SendTime = d.Uplink.Delay(int(d.bulkSize))
-		v.unsend = sync.OnceFunc(d.Uplink.Reserve(int(d.bulkSize)))
+		v.unreserve = sync.OnceFunc(d.Uplink.Reserve(int(d.bulkSize)))
 	}
 	admitted, retryAfter := d.queue.Offer(&v.Job, now)
 	if !admitted {
@@ -412,10 +412,10 @@
 	}
 }
 
-// endReservation ends the announcement of a large response, which is sent now or will not be.
+// endReservation ends the reservation of the uplink for a large response, which is sent now or will not be.
 func (v *delivery) endReservation() {
-	if v.unsend != nil {
-		v.unsend()
+	if v.unreserve != nil {
+		v.unreserve()
 	}
 }
 
