--- a/review/_cases/born.go
+++ b/review/_cases/born.go
@@ -10,10 +10,10 @@
 // clockJump is the largest jump of the time of day in the site files.
 const clockJump = 2400 * time.Millisecond
 
-// clockBorn: the time of day of a host jumps forward and back again; its target starts while the clock is
-// ahead, crashes, and starts again under its ID after the clock has jumped back. Later it drains and leaves.
+// clockBorn: the time of day of a host jumps forward and back again. A target is added there and starts while the
+// clock is ahead, crashes, and starts again under its ID after the clock has jumped back. Later it drains.
 func clockBorn(e *env, trouble bool) (bool, error) {
-	front, targets, stop, err := startDeployment(e, 2, 6, 60*time.Millisecond, deskRoute())
+	front, targets, _, err := startDeployment(e, 2, 6, 60*time.Millisecond, deskRoute(), 1)
 	if err != nil {
 		return false, err
 	}
@@ -43,11 +43,9 @@
 			}
 		}()
 	}
-	// restart ends the target's process and starts it again under its ID after a pause.
-	restart := func(old *target, pause, clock time.Duration) (*target, chan struct{}, error) {
-		old.exit()
-		time.Sleep(pause)
-		t := newTarget(old.node, old.id, cap(old.slots), old.work)
+	// start starts the target's process under its ID while the clock is ahead by the given time.
+	start := func(clock time.Duration) (*target, chan struct{}, error) {
+		t := newTarget(targets[1].node, targets[1].id, 6, 60*time.Millisecond)
 		t.born += clock.Milliseconds()
 		t.onRun = func(string) {
 			mu.Lock()
@@ -59,22 +57,22 @@
 		}
 		s := make(chan struct{})
 		go t.beats(s)
-		e.add("target %s: starts again, born %d, the clock is %s ahead", t.id, t.born, clock)
+		e.add("target %s: starts, born %d, the clock is %s ahead", t.id, t.born, clock)
 		return t, s, nil
 	}
 	clock := time.Duration(0)
 	if trouble {
 		clock = clockJump
 	}
-	close(stop[1])
-	leaving, s, err := restart(targets[1], 500*time.Millisecond, clock)
+	leaving, s, err := start(clock)
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
 	close(s)
-	leaving, s, err = restart(leaving, 500*time.Millisecond, 0)
-	if err != nil {
+	leaving.exit()
+	time.Sleep(500 * time.Millisecond)
+	if leaving, s, err = start(0); err != nil {
 		return false, err
 	}
 	time.Sleep(contactS + 2*time.Second)
--- a/review/_cases/late.go
+++ b/review/_cases/late.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -23,8 +24,9 @@
 }
 
 // startDeployment starts one node with a target of "front" and as many nodes with targets of "desk" as
-// given, all with heartbeats. stop ends the heartbeats of one target.
-func startDeployment(e *env, desks, slots int, work time.Duration, r route) (front *node, targets []*target, stop []chan struct{}, err error) {
+// given, all with heartbeats. stop ends the heartbeats of one target. The targets whose numbers are in later are not
+// started.
+func startDeployment(e *env, desks, slots int, work time.Duration, r route, later ...int) (front *node, targets []*target, stop []chan struct{}, err error) {
 	front = e.addNode("front", "suva")
 	nodes := []*node{front}
 	zones := []string{"suva", "nadi", "ba"}
@@ -34,15 +36,18 @@
 	e.putConfig(7, []string{"front", "desk"}, []route{r, {"r-front", frontHost, deskPrefix, "unsafe", "front", 1.5, 0.6, 0}})
 	for i, n := range nodes {
 		t := newTarget(n, fmt.Sprintf("i-%s-%d", n.service, i), slots, work)
-		if err := t.listen(); err != nil {
-			return nil, nil, nil, err
-		}
 		if err := n.start(); err != nil {
 			return nil, nil, nil, err
 		}
 		s := make(chan struct{})
-		go t.beats(s)
 		targets, stop = append(targets, t), append(stop, s)
+		if slices.Contains(later, i) {
+			continue
+		}
+		if err := t.listen(); err != nil {
+			return nil, nil, nil, err
+		}
+		go t.beats(s)
 	}
 	if !e.waitReady(10 * time.Second) {
 		return nil, nil, nil, errNotReady
