--- a/review/_cases/memory.go
+++ b/review/_cases/memory.go
@@ -87,9 +87,15 @@
 	s.ran[id] = true
 }
 
+const (
+	uploadCount = 3
+	uploadSize  = 60 << 20 // bytes; maxBodyBytes is 64 << 20
+	uploadRate  = 100e6    // bytes per second of all uploads; the link of a host carries 125e6
+)
+
 // largeBodies: a few clients send bodies that are large but within maxBodyBytes.
 func largeBodies(e *env, trouble bool) (bool, error) {
-	front, targets, _, err := startDeployment(e, 2, 12, 200*time.Millisecond, deskRoute())
+	front, targets, _, err := startDeployment(e, 2, 12, 180*time.Millisecond, bookingRoute())
 	if err != nil {
 		return false, err
 	}
@@ -105,17 +111,17 @@
 	calm := peak()
 	var uploads atomic.Int64
 	if trouble {
-		body := make([]byte, 60<<20)
+		body := make([]byte, uploadSize)
 		for round := range 3 {
 			var burst sync.WaitGroup
-			for i := range 2 {
+			for i := range uploadCount {
 				burst.Add(1)
 				go func() {
 					defer burst.Done()
-					c := &client{env: e, node: front}
+					c := &client{env: e, node: front, rate: uploadRate / uploadCount}
 					id := fmt.Sprintf("large-%d-%d", round, i)
 					e.add("upload %s: %d bytes", id, len(body))
-					r := c.do("POST", deskHost, deskPath, id, body, 1500*time.Millisecond)
+					r := c.do("POST", deskHost, deskPath, id, body, 2500*time.Millisecond)
 					e.add("upload %s: gets status %d error %v", id, r.status, r.err)
 					c.close()
 					uploads.Add(1)
--- a/review/_cases/target.go
+++ b/review/_cases/target.go
@@ -243,10 +243,32 @@
 type client struct {
 	env    *env
 	node   *node
+	rate   float64 // bytes per second at which bodies are sent; 0 for no limit
 	conn   net.Conn
 	reader *bufio.Reader
 }
 
+// pacedPiece is the size in bytes of the pieces of a paced body.
+const pacedPiece = 256 << 10
+
+// send writes a body at the client's rate.
+func (c *client) send(body []byte) error {
+	if c.rate == 0 {
+		_, err := c.conn.Write(body)
+		return err
+	}
+	began := time.Now()
+	for sent := 0; sent < len(body); {
+		piece := body[sent:min(sent+pacedPiece, len(body))]
+		if _, err := c.conn.Write(piece); err != nil {
+			return err
+		}
+		sent += len(piece)
+		time.Sleep(time.Until(began.Add(time.Duration(float64(sent) / c.rate * float64(time.Second)))))
+	}
+	return nil
+}
+
 // result is what a client sees of one attempt.
 type result struct {
 	status int // 0 if there was no complete answer
@@ -285,7 +307,7 @@
 	}
 	out.WriteString("\r\n")
 	if _, r.err = c.conn.Write(out.Bytes()); r.err == nil {
-		_, r.err = c.conn.Write(body)
+		r.err = c.send(body)
 	}
 	if r.err != nil {
 		c.close()
