Keep departures of a target across restarts of its node

Cause: the node kept the acknowledged departure in memory only. A new process took any heartbeat as the newest one, also a heartbeat that was sent before the departure and arrived seconds late. The target runs under the same ID, so it does not reject the calls.

Change: a departure is stored under departures/ADDRESS before it is acknowledged; a process reads that record before it uses a heartbeat. Without the store, a heartbeat counts once it must have been sent after the start (tracker.MaxReportDelay). A departure takes effect at once in any case.

--- /dev/null
+++ b/internal/proxy/retainer/retainer.go
@@ -0,0 +1,222 @@
+// Package retainer keeps the departures of the target on this host in the platform's store, so that
+// a later process of the node also refuses late heartbeats of runs that have left.
+package retainer
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"clementinerock/internal/node/recorder"
+	"clementinerock/internal/proxy/tracker"
+	"clementinerock/platform"
+)
+
+const (
+	// recordTTL is the lifetime of a record after its last write. It exceeds the time for which a
+	// target serves on after it has announced that it leaves, plus tracker.MaxReportDelay.
+	recordTTL = 5 * time.Minute
+
+	minBackoff = 50 * time.Millisecond // mean pause after a failed call; then doubles
+	maxBackoff = 500 * time.Millisecond
+)
+
+// Store is the platform's store.
+type Store interface {
+	Get(key string) (platform.Item, uint64, error)
+	Commit(conditions []platform.Condition, writes []platform.Write, deletes []string) (uint64, error)
+	GrantLease(ttl time.Duration) (uint64, time.Duration, error)
+}
+
+// Retainer loads the departures that earlier processes stored, and stores new ones.
+type Retainer struct {
+	Log     *zap.Logger
+	Store   Store
+	Address string              // address of the target
+	OnLoad  func([]tracker.Run) // receives the stored departures, oldest first; called once
+
+	mu     sync.Mutex // guards the fields below
+	wanted []tracker.Run
+	stored chan struct{} // closed once wanted is stored; nil before the first Save
+
+	wake   chan struct{} // signals a change of wanted
+	loaded chan struct{} // closed when OnLoad has returned
+	stop   chan struct{}
+
+	// Fields of the goroutine that calls the store.
+	revision uint64 // revision of the record at the last read or write
+	known    bool   // whether revision is the current one, as far as this process knows
+	lease    uint64 // granted lease that no record is bound to, or 0
+}
+
+// Start loads the stored departures and then stores those that Save receives, until the clean-up
+// function is called.
+func (r *Retainer) Start() func() {
+	r.wake = make(chan struct{}, 1)
+	r.loaded = make(chan struct{})
+	r.stop = make(chan struct{})
+	go r.run()
+	return sync.OnceFunc(func() { close(r.stop) })
+}
+
+// Loaded returns a channel that is closed when the stored departures have been loaded.
+func (r *Retainer) Loaded() <-chan struct{} { return r.loaded }
+
+// Save stores the departures of the target, oldest first, and replaces those of earlier calls. It
+// returns a channel that is closed when they are stored. Failed calls to the store are repeated.
+func (r *Retainer) Save(departed []tracker.Run) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stored != nil && slices.Equal(departed, r.wanted) {
+		return r.stored
+	}
+	r.wanted = slices.Clone(departed)
+	if r.stored == nil || isClosed(r.stored) {
+		r.stored = make(chan struct{})
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default: // signaled already
+	}
+	return r.stored
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// run loads the record, and writes it after each change.
+func (r *Retainer) run() {
+	if !r.repeat("departures not loaded", func() error {
+		departed, err := r.read()
+		if err == nil {
+			r.OnLoad(departed)
+		}
+		return err
+	}) {
+		return
+	}
+	close(r.loaded)
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-r.wake:
+		}
+		if !r.repeat("departures not stored", r.writeWanted) {
+			return
+		}
+	}
+}
+
+// repeat calls action until it succeeds. It returns false when the retainer stops.
+func (r *Retainer) repeat(message string, action func() error) bool {
+	backoff := minBackoff
+	for {
+		err := action()
+		if err == nil {
+			return true
+		}
+		r.Log.Info("store: "+message+", trying again", zap.String("address", r.Address), recorder.Err(err))
+		timer := time.NewTimer(backoff/2 + rand.N(backoff))
+		select {
+		case <-r.stop:
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (r *Retainer) key() string { return platform.PrefixDepartures + r.Address }
+
+// read reads the record. A record that cannot be decoded counts as empty, since another writer has
+// replaced it.
+func (r *Retainer) read() ([]tracker.Run, error) {
+	item, _, err := r.Store.Get(r.key())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return nil, err
+	}
+	r.revision, r.known = item.Revision, true
+	if err != nil {
+		return nil, nil
+	}
+	var departed []tracker.Run
+	if err := cbor.Unmarshal(item.Value, &departed); err != nil {
+		r.Log.Warn("store: invalid record of departures ignored", zap.String("key", r.key()), recorder.Err(err))
+		return nil, nil
+	}
+	return departed, nil
+}
+
+// writeWanted stores the departures that Save received last. The condition on the revision keeps a
+// write whose response was lost from replacing a later one.
+func (r *Retainer) writeWanted() error {
+	r.mu.Lock()
+	departed := r.wanted
+	r.mu.Unlock()
+	if !r.known {
+		stored, err := r.read()
+		if err != nil {
+			return err
+		}
+		if slices.Equal(stored, departed) {
+			r.markStored(departed)
+			return nil
+		}
+	}
+	if err := r.write(departed); err != nil {
+		return err
+	}
+	r.markStored(departed)
+	return nil
+}
+
+// write writes the record under a new lease.
+func (r *Retainer) write(departed []tracker.Run) error {
+	value, err := cbor.Marshal(departed)
+	if err != nil {
+		return merry.Prepend(err, "encode departures")
+	}
+	if r.lease == 0 {
+		if r.lease, _, err = r.Store.GrantLease(recordTTL); err != nil {
+			return err
+		}
+	}
+	revision, err := r.Store.Commit(
+		[]platform.Condition{{Key: r.key(), Revision: r.revision}},
+		[]platform.Write{{Key: r.key(), Value: value, Lease: r.lease}}, nil)
+	switch {
+	case errors.Is(err, platform.ErrRefused):
+		return err // nothing was done
+	case errors.Is(err, platform.ErrConflict):
+		r.known = false
+		return err
+	case err != nil:
+		r.known, r.lease = false, 0 // the record may be bound to the lease, or the lease has expired
+		return err
+	}
+	r.revision, r.lease = revision, 0
+	return nil
+}
+
+// markStored signals that departures are stored, unless Save has received others since.
+func (r *Retainer) markStored(departed []tracker.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.Equal(departed, r.wanted) && !isClosed(r.stored) {
+		close(r.stored)
+	}
+}
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -18,6 +18,7 @@
 	"clementinerock/internal/proxy/forwarder"
 	"clementinerock/internal/proxy/matcher"
 	"clementinerock/internal/proxy/pacer"
+	"clementinerock/internal/proxy/retainer"
 	"clementinerock/internal/proxy/tracker"
 	"clementinerock/platform"
 )
@@ -98,6 +99,8 @@
 	acceptor    *acceptor.Acceptor
 	hub         *carrier.Hub
 	finder      *finder.Finder
+	retainer    *retainer.Retainer
+	ended       chan struct{} // closed when Run returns
 }
 
 // Run serves until stop is closed and then shuts down gracefully.
@@ -109,6 +112,7 @@
 			cleanUps[i]()
 		}
 	}()
+	cleanUps = append(cleanUps, func() { close(n.ended) }, n.retainer.Start())
 	starts := []func() (func(), error){
 		n.hub.Start,
 		n.serveControl,
@@ -151,7 +155,8 @@
 		Started:       n.started.UnixNano(),
 		MilliCPU:      s.MilliCPU,
 	}
-	n.target = tracker.Tracker{Service: s.Service, Address: s.Target}
+	n.ended = make(chan struct{})
+	n.target = tracker.Tracker{Service: s.Service, Address: s.Target, Loading: n.started}
 	n.deliverer = &deliverer.Deliverer{
 		Log:     n.Log,
 		Meter:   n.Meter,
@@ -176,6 +181,7 @@
 	n.hub.Uplink, n.deliverer.Uplink, n.acceptor.Uplink = uplink, uplink, uplink
 	store, _ := platform.NewStore(s.Store)
 	n.finder = &finder.Finder{Log: n.Log, Store: store, Self: n.self, Sink: n, Hub: n.hub}
+	n.retainer = &retainer.Retainer{Log: n.Log, Store: store, Address: s.Target, OnLoad: n.restoreDepartures}
 }
 
 // budget returns this node's share of a service's retry budget. The slack is divided by the largest
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -112,15 +112,25 @@
 
 func (h *host) stopNode() { h.stopOnce.Do(func() { close(h.stop) }) }
 
+// restartNode stops the node gracefully and starts a new process of it. The target runs on.
+func (h *host) restartNode(t *testing.T) {
+	t.Helper()
+	h.stopNode()
+	<-h.done
+	h.stop, h.done, h.stopOnce = make(chan struct{}), make(chan struct{}), sync.Once{}
+	h.startNode(t)
+}
+
 // startNode starts the node. It runs until stopNode is called.
 func (h *host) startNode(t *testing.T) {
 	t.Helper()
 	meter, stopMeter := counter.New()
 	node := &Node{Settings: h.settings, Log: zap.NewNop(), Meter: meter, Dropped: func() int64 { return 0 }}
+	stop, done := h.stop, h.done
 	go func() {
-		defer close(h.done)
+		defer close(done)
 		defer stopMeter()
-		assert.Check(t, node.Run(h.stop))
+		assert.Check(t, node.Run(stop))
 	}()
 }
 
@@ -158,11 +168,16 @@
 
 // sendHeartbeat sends one heartbeat and reports whether it was acknowledged.
 func (h *host) sendHeartbeat(state string) bool {
+	return h.sendReport("heartbeat", state, h.sequence.Add(1))
+}
+
+// sendReport sends a heartbeat or leave message and reports whether it was acknowledged.
+func (h *host) sendReport(kind, state string, sequence int64) bool {
 	body, _ := json.Marshal(map[string]any{
 		"service": h.service, "address": h.settings.Target, "zone": h.settings.FailureDomain, "slots": 4,
-		"state": state, "sequence": h.sequence.Add(1), "born": 1000,
+		"state": state, "sequence": sequence, "born": 1000,
 	})
-	url := fmt.Sprintf("http://%s%s?call=instances.heartbeat&of=i-%s", h.settings.Control, platform.PathReports, h.settings.Node)
+	url := fmt.Sprintf("http://%s%s?call=instances.%s&of=i-%s", h.settings.Control, platform.PathReports, kind, h.settings.Node)
 	response, err := http.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return false
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,6 +21,10 @@
 	adminIdleTimeout = 10 * time.Second
 	adminBufferSize  = 4 << 10 // in bytes
 
+	// reportTimeout is the time after which a report is answered without an acknowledgement. Targets
+	// wait for a second.
+	reportTimeout = 800 * time.Millisecond
+
 	// shutdownTimeout is the time limit for closing a server's connections when the process ends.
 	shutdownTimeout = 20 * time.Millisecond
 )
@@ -76,19 +81,51 @@
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
 			return
 		}
-		if n.applyReport(report) == tracker.Foreign {
+		switch verdict, stored := n.applyReport(report); {
+		case verdict == tracker.Foreign:
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
 			return
+		case verdict == tracker.Unconfirmed, !stored:
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
 		}
 		ctx.SetContentType("application/json")
 		ctx.SetBody(platform.AckBody)
 	})
 }
 
-// applyReport passes a report to the control goroutine and waits until it is applied, because the
-// target relies on the acknowledgement.
-func (n *Node) applyReport(report tracker.Report) tracker.Verdict {
+// applyReport applies a report, because the target relies on the acknowledgement. It also waits until
+// a departure is stored, so that it stays in effect if this process ends, and reports whether it is.
+// A heartbeat waits for the departures that earlier processes stored.
+func (n *Node) applyReport(report tracker.Report) (verdict tracker.Verdict, stored bool) {
+	timer := time.NewTimer(reportTimeout)
+	defer timer.Stop()
+	if report.State == tracker.Serving {
+		select {
+		case <-n.retainer.Loaded():
+		case <-timer.C:
+		}
+		verdict, _ = n.observe(report)
+		return verdict, true
+	}
+	verdict, done := n.observe(report)
+	select {
+	case <-done:
+		return verdict, true
+	case <-timer.C:
+		n.Log.Warn("target: departure in effect but not stored yet, so not acknowledged",
+			zap.String("id", report.ID),
+			zap.Int64("born", report.Born),
+			zap.String("state", report.State.String()))
+		return verdict, false
+	}
+}
+
+// observe passes a report to the control goroutine and waits until it is applied. The returned channel
+// is closed when all departures of the target are stored.
+func (n *Node) observe(report tracker.Report) (tracker.Verdict, <-chan struct{}) {
 	verdicts := make(chan tracker.Verdict, 1)
+	var stored <-chan struct{}
 	n.enqueue(func() {
 		before := n.target.Current
 		verdict := n.target.Observe(report, time.Now())
@@ -96,6 +133,9 @@
 		if verdict == tracker.Accepted {
 			n.deliverer.Update(current, time.Now())
 		}
+		if report.State != tracker.Serving {
+			stored = n.retainer.Save(n.target.Departed)
+		}
 		if verdict != tracker.Accepted || before.State != current.State || before.ID != current.ID {
 			n.Log.Info("target: report "+verdict.String(),
 				zap.String("id", report.ID),
@@ -108,7 +148,29 @@
 		}
 		verdicts <- verdict
 	})
-	return <-verdicts
+	return <-verdicts, stored
+}
+
+// restoreDepartures applies the departures that earlier processes of this node acknowledged, and
+// returns when it is done or the node has stopped.
+func (n *Node) restoreDepartures(departed []tracker.Run) {
+	done := make(chan struct{})
+	n.enqueue(func() {
+		defer close(done)
+		acknowledged := len(n.target.Departed) > 0
+		n.target.Restore(departed)
+		if n.target.Current.State != tracker.Unreported {
+			n.deliverer.Update(n.target.Current, time.Now())
+		}
+		if acknowledged {
+			n.retainer.Save(n.target.Departed)
+		}
+		n.Log.Info("target: departures loaded", zap.Int("departures", len(departed)))
+	})
+	select {
+	case <-done:
+	case <-n.ended:
+	}
 }
 
 // dump is the state of the process as it is written in JSON.
@@ -118,6 +180,7 @@
 	Stopping   bool             `json:"stopping"`
 	Version    uint64           `json:"version"`
 	Target     tracker.Report   `json:"target"`
+	Departed   []tracker.Run    `json:"departed"` // runs of the target that drain or have left
 	Serving    bool             `json:"serving"`
 	Slots      int              `json:"slots"`
 	InUse      int              `json:"use"`
@@ -143,15 +206,21 @@
 
 // dump returns the current state.
 func (n *Node) dump() dump {
-	targets := make(chan tracker.Report, 1)
-	n.enqueue(func() { targets <- n.target.Current })
+	targets := make(chan tracker.Tracker, 1)
+	n.enqueue(func() {
+		target := n.target
+		target.Departed = slices.Clone(target.Departed)
+		targets <- target
+	})
 	state := n.deliverer.State()
+	target := <-targets
 	d := dump{
 		Node:       n.self.Node,
 		Started:    n.started,
 		Stopping:   n.stopping.Load(),
 		Version:    n.Version(),
-		Target:     <-targets,
+		Target:     target.Current,
+		Departed:   target.Departed,
 		Serving:    state.Serving,
 		Slots:      state.Slots,
 		InUse:      state.InUse,
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -1,7 +1,11 @@
-// Package tracker keeps the newest valid report of the target on this host.
+// Package tracker keeps the newest valid report of the target on this host, and the runs of the target
+// that have left.
 package tracker
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is the availability of a target.
 type State int
@@ -40,14 +44,23 @@
 	Born     int64         // start time of the target in Unix milliseconds; 0 if unknown
 }
 
+// Run identifies one run of a target. A later run may have the same ID.
+type Run struct {
+	ID   string
+	Born int64 // start time in Unix milliseconds; 0 if unknown
+}
+
+func (r *Report) run() Run { return Run{ID: r.ID, Born: r.Born} }
+
 // Verdict is the result of checking a report.
 type Verdict int
 
 // Verdicts on a report.
 const (
-	Accepted Verdict = iota
-	Stale            // superseded by the stored report
-	Foreign          // not from this host's target
+	Accepted    Verdict = iota
+	Stale               // superseded by the stored report
+	Foreign             // not from this host's target
+	Unconfirmed         // may have been sent before a departure that an earlier process acknowledged
 )
 
 // String returns the name of the verdict.
@@ -57,6 +70,8 @@
 		return "taken"
 	case Stale:
 		return "stale"
+	case Unconfirmed:
+		return "unconfirmed"
 	}
 	return "foreign"
 }
@@ -64,12 +79,25 @@
 // maxClockSkew is the maximum tolerated difference between the clocks of a target and of its node.
 const maxClockSkew = 3 * time.Second
 
+// MaxReportDelay is the longest time that a report may take from the target to its node. A partition
+// delays reports by seconds.
+const MaxReportDelay = 10 * time.Second
+
+// maxDepartures is the number of departures that are kept.
+const maxDepartures = 8
+
 // Tracker stores the newest report of the target at one address. Heartbeats may arrive late: one of an
-// earlier run, or from before a drain, must not make the target available again.
+// earlier run, or from before a drain, must not make the target available again, also if the node has
+// restarted since.
 type Tracker struct {
-	Service string
-	Address string
-	Current Report // newest accepted report
+	Service  string
+	Address  string
+	Current  Report // newest accepted report
+	Departed []Run  // runs that drain or have left, oldest first
+
+	// Loading is the time since which the departures that earlier processes of this node
+	// acknowledged are being loaded. It is zero once they are in Departed.
+	Loading time.Time
 
 	leaveReceived int64 // Unix milliseconds at which the leave message of an unreported run arrived
 }
@@ -86,10 +114,50 @@
 	if !t.supersedes(report) {
 		return Stale
 	}
+	if report.State == Serving {
+		if slices.Contains(t.Departed, report.run()) {
+			return Stale
+		}
+		if t.mayPredateStart(now) {
+			return Unconfirmed
+		}
+	} else {
+		t.addDeparture(report.run())
+	}
 	t.Current = report
 	return Accepted
 }
 
+// mayPredateStart reports whether a report that arrives now may have been sent before this process
+// started, while it is unknown which departures earlier processes acknowledged.
+func (t *Tracker) mayPredateStart(now time.Time) bool {
+	return !t.Loading.IsZero() && now.Sub(t.Loading) < MaxReportDelay
+}
+
+// Restore adds the departures that earlier processes of this node acknowledged.
+func (t *Tracker) Restore(departed []Run) {
+	t.Loading = time.Time{}
+	since := t.Departed
+	t.Departed = slices.Clone(departed)
+	for _, run := range since {
+		t.addDeparture(run)
+	}
+	if t.Current.State == Serving && slices.Contains(t.Departed, t.Current.run()) {
+		t.Current.State = Gone
+	}
+}
+
+// addDeparture stores a run that drains or has left. The oldest one is dropped if there are too many.
+func (t *Tracker) addDeparture(run Run) {
+	if slices.Contains(t.Departed, run) {
+		return
+	}
+	t.Departed = append(t.Departed, run)
+	if len(t.Departed) > maxDepartures {
+		t.Departed = slices.Delete(t.Departed, 0, len(t.Departed)-maxDepartures)
+	}
+}
+
 // observeLeave handles the end of a run of the target. The end of a run that sent no report so far is
 // stored too, so that its late heartbeats are rejected.
 func (t *Tracker) observeLeave(report Report, now time.Time) Verdict {
@@ -98,8 +166,10 @@
 	}
 	if t.sameRun(report) {
 		t.Current.State = Gone
+		t.addDeparture(t.Current.run())
 		return Accepted
 	}
+	t.addDeparture(report.run())
 	t.Current = report
 	t.leaveReceived = now.UnixMilli()
 	return Accepted
