Order the runs of a target without the time of day

Cause: of two runs of a target, the one with the later start time counted as the newer one. After the clock had been set back, all reports of a restarted target were stale, and stale reports were acknowledged.

Change: a departure that may come from the running target takes effect at once, whatever its start time. A heartbeat of another run with the same ID ends it only if it must have been sent later (tracker.MaxReportDelay, by the steady clock). Runs with another ID are told apart by the target, which rejects calls for an instance that it is not. What is not applied gets 503. A departure whose ID has been taken over by a later run is stored as such, so that a restart of the node does not block that run.

--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -58,13 +58,18 @@
 type Deliverer struct {
 	Log           *zap.Logger
 	Meter         Meter
-	Address       string        // address of the target
-	OnStateChange func()        // called after a change of state that other nodes need at once
-	Version       func() uint64 // returns the version of the active configuration
-	DrainGrace    time.Duration // time for which a target that drains or has left still gets calls
-	Uplink        *pacer.Gate   // sends the responses of the target to other hosts
-	Memory        int64         // memory limit of this process in bytes; 0 if there is none
-	Clock         expirer.Clock // nil for the clock of the host
+	Address       string // address of the target
+	OnStateChange func() // called after a change of state that other nodes need at once
+
+	// OnMisdirected is called when another instance than the given run listens on the target's
+	// address.
+	OnMisdirected func(tracker.Run)
+
+	Version    func() uint64 // returns the version of the active configuration
+	DrainGrace time.Duration // time for which a target that drains or has left still gets calls
+	Uplink     *pacer.Gate   // sends the responses of the target to other hosts
+	Memory     int64         // memory limit of this process in bytes; 0 if there is none
+	Clock      expirer.Clock // nil for the clock of the host
 
 	mu               sync.Mutex // guards the fields below
 	queue            admitter.Queue
@@ -95,7 +100,7 @@
 // Update applies the newest accepted report of the target.
 func (d *Deliverer) Update(report tracker.Report, now time.Time) {
 	d.mu.Lock()
-	if report.ID != d.target.ID || report.Born != d.target.Born {
+	if report.Run != d.target.Run {
 		d.closeIdle()
 		d.unreachableUntil = time.Time{}
 		d.failureRatio = 0
--- a/internal/proxy/deliverer/deliverer_test.go
+++ b/internal/proxy/deliverer/deliverer_test.go
@@ -81,6 +81,7 @@
 		Meter:         discardMeter{},
 		Address:       s.address,
 		OnStateChange: func() {},
+		OnMisdirected: func(tracker.Run) {},
 		Version:       func() uint64 { return 1 },
 		DrainGrace:    50 * time.Millisecond,
 	}
@@ -89,7 +90,7 @@
 }
 
 func report(s *target, slots int, state tracker.State, sequence uint64) tracker.Report {
-	return tracker.Report{ID: "i-1", Service: "s", Address: s.address, Slots: slots, State: state, Sequence: sequence}
+	return tracker.Report{Run: tracker.Run{ID: "i-1"}, Service: "s", Address: s.address, Slots: slots, State: state, Sequence: sequence}
 }
 
 func newCall(id string, idempotent bool) *carrier.Call {
--- a/internal/proxy/deliverer/exchange.go
+++ b/internal/proxy/deliverer/exchange.go
@@ -101,10 +101,14 @@
 	d.Log.Info("deliver: another instance of the target responded",
 		zap.String("expected", d.target.ID),
 		zap.String("found", found))
-	if d.target.ID != found {
+	run := d.target.Run
+	if run.ID != found {
 		d.target.State = tracker.Unreported
 	}
 	d.updateSlots(time.Now())
 	d.mu.Unlock()
 	d.OnStateChange()
+	if run.ID != found {
+		d.OnMisdirected(run)
+	}
 }
--- a/internal/proxy/retainer/retainer.go
+++ b/internal/proxy/retainer/retainer.go
@@ -38,12 +38,12 @@
 type Retainer struct {
 	Log     *zap.Logger
 	Store   Store
-	Address string              // address of the target
-	OnLoad  func([]tracker.Run) // receives the stored departures, oldest first; called once
+	Address string                    // address of the target
+	OnLoad  func([]tracker.Departure) // receives the stored departures, oldest first; called once
 
 	mu     sync.Mutex // guards the fields below
-	wanted []tracker.Run
-	stored chan struct{} // closed once wanted is stored; nil before the first Save
+	wanted []tracker.Departure
+	stored chan struct{} // closed once wanted is stored; nil before the first Save or load
 
 	wake   chan struct{} // signals a change of wanted
 	loaded chan struct{} // closed when OnLoad has returned
@@ -70,13 +70,13 @@
 
 // Save stores the departures of the target, oldest first, and replaces those of earlier calls. It
 // returns a channel that is closed when they are stored. Failed calls to the store are repeated.
-func (r *Retainer) Save(departed []tracker.Run) <-chan struct{} {
+func (r *Retainer) Save(departures []tracker.Departure) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stored != nil && slices.Equal(departed, r.wanted) {
+	if r.stored != nil && slices.Equal(departures, r.wanted) {
 		return r.stored
 	}
-	r.wanted = slices.Clone(departed)
+	r.wanted = slices.Clone(departures)
 	if r.stored == nil || isClosed(r.stored) {
 		r.stored = make(chan struct{})
 	}
@@ -99,9 +99,10 @@
 // run loads the record, and writes it after each change.
 func (r *Retainer) run() {
 	if !r.repeat("departures not loaded", func() error {
-		departed, err := r.read()
+		departures, err := r.read()
 		if err == nil {
-			r.OnLoad(departed)
+			r.setLoaded(departures)
+			r.OnLoad(departures)
 		}
 		return err
 	}) {
@@ -120,6 +121,17 @@
 	}
 }
 
+// setLoaded records that departures are stored, unless Save has received others.
+func (r *Retainer) setLoaded(departures []tracker.Departure) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stored == nil {
+		r.wanted = departures
+		r.stored = make(chan struct{})
+		close(r.stored)
+	}
+}
+
 // repeat calls action until it succeeds. It returns false when the retainer stops.
 func (r *Retainer) repeat(message string, action func() error) bool {
 	backoff := minBackoff
@@ -144,7 +156,7 @@
 
 // read reads the record. A record that cannot be decoded counts as empty, since another writer has
 // replaced it.
-func (r *Retainer) read() ([]tracker.Run, error) {
+func (r *Retainer) read() ([]tracker.Departure, error) {
 	item, _, err := r.Store.Get(r.key())
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return nil, err
@@ -153,40 +165,40 @@
 	if err != nil {
 		return nil, nil
 	}
-	var departed []tracker.Run
-	if err := cbor.Unmarshal(item.Value, &departed); err != nil {
+	var departures []tracker.Departure
+	if err := cbor.Unmarshal(item.Value, &departures); err != nil {
 		r.Log.Warn("store: invalid record of departures ignored", zap.String("key", r.key()), recorder.Err(err))
 		return nil, nil
 	}
-	return departed, nil
+	return departures, nil
 }
 
 // writeWanted stores the departures that Save received last. The condition on the revision keeps a
 // write whose response was lost from replacing a later one.
 func (r *Retainer) writeWanted() error {
 	r.mu.Lock()
-	departed := r.wanted
+	departures := r.wanted
 	r.mu.Unlock()
 	if !r.known {
 		stored, err := r.read()
 		if err != nil {
 			return err
 		}
-		if slices.Equal(stored, departed) {
-			r.markStored(departed)
+		if slices.Equal(stored, departures) {
+			r.markStored(departures)
 			return nil
 		}
 	}
-	if err := r.write(departed); err != nil {
+	if err := r.write(departures); err != nil {
 		return err
 	}
-	r.markStored(departed)
+	r.markStored(departures)
 	return nil
 }
 
 // write writes the record under a new lease.
-func (r *Retainer) write(departed []tracker.Run) error {
-	value, err := cbor.Marshal(departed)
+func (r *Retainer) write(departures []tracker.Departure) error {
+	value, err := cbor.Marshal(departures)
 	if err != nil {
 		return merry.Prepend(err, "encode departures")
 	}
@@ -213,10 +225,10 @@
 }
 
 // markStored signals that departures are stored, unless Save has received others since.
-func (r *Retainer) markStored(departed []tracker.Run) {
+func (r *Retainer) markStored(departures []tracker.Departure) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if slices.Equal(departed, r.wanted) && !isClosed(r.stored) {
+	if slices.Equal(departures, r.wanted) && !isClosed(r.stored) {
 		close(r.stored)
 	}
 }
--- a/internal/proxy/retainer/retainer_test.go
+++ b/internal/proxy/retainer/retainer_test.go
@@ -14,10 +14,15 @@
 
 const address = "127.0.0.1:80"
 
+var (
+	runA = tracker.Run{ID: "a", Born: 1}
+	runB = tracker.Run{ID: "b", Born: 2}
+)
+
 // process is a retainer of one process of the node.
 type process struct {
 	*Retainer
-	loaded []tracker.Run
+	loaded []tracker.Departure
 }
 
 // startProcess starts a retainer that uses the store at an address.
@@ -26,7 +31,7 @@
 	client, closeClient := platform.NewStore(storeAddress)
 	p := &process{}
 	p.Retainer = &Retainer{Log: zap.NewNop(), Store: client, Address: address}
-	p.OnLoad = func(departed []tracker.Run) { p.loaded = departed }
+	p.OnLoad = func(departed []tracker.Departure) { p.loaded = departed }
 	stop := p.Start()
 	t.Cleanup(func() {
 		stop()
@@ -71,8 +76,8 @@
 			wait(t, first.Loaded())
 			assert.Equal(t, len(first.loaded), 0)
 			store.SetFaults(faults)
-			first.Save([]tracker.Run{{ID: "a", Born: 1}})
-			departed := []tracker.Run{{ID: "a", Born: 1}, {ID: "b", Born: 2}}
+			first.Save([]tracker.Departure{{Run: runA}})
+			departed := []tracker.Departure{{Run: runA}, {Run: runB, Over: true}}
 			wait(t, first.Save(departed))
 			store.SetFaults(standin.Faults{})
 			time.Sleep(faults.LostWriteDelay)
@@ -90,7 +95,7 @@
 	p := startProcess(t, storeAddress)
 	wait(t, p.Loaded())
 	store.SetFaults(standin.Faults{Refuse: true})
-	departed := []tracker.Run{{ID: "a", Born: 1}}
+	departed := []tracker.Departure{{Run: runA}}
 	stored := p.Save(departed)
 	assert.Equal(t, p.Save(departed), stored)
 	select {
@@ -127,7 +132,7 @@
 			first := startProcess(t, storeAddress)
 			wait(t, first.Loaded())
 			assert.Equal(t, len(first.loaded), 0)
-			departed := []tracker.Run{{ID: "a", Born: 1}}
+			departed := []tracker.Departure{{Run: runA}}
 			wait(t, first.Save(departed))
 			second := startProcess(t, storeAddress)
 			wait(t, second.Loaded())
--- a/internal/proxy/runner/departure_test.go
+++ b/internal/proxy/runner/departure_test.go
@@ -45,10 +45,10 @@
 			leaving := m.hosts[0]
 			leaving.waitForOK(t, "/a/x")
 			late := leaving.lateHeartbeat(t)
-			assert.Assert(t, leaving.sendReport(test.kind, test.state, leaving.sequence.Add(1)))
+			assert.Assert(t, leaving.sendReport(test.kind, test.state, leaving.sequence.Add(1), firstBorn))
 			leaving.restartNode(t)
 			leaving.waitForOK(t, "/a/x")
-			leaving.sendReport("heartbeat", "ready", late)
+			leaving.sendReport("heartbeat", "ready", late, firstBorn)
 			assertUnused(t, leaving, leaving)
 			assertUnused(t, leaving, m.hosts[2])
 		})
@@ -64,13 +64,13 @@
 	leaving.waitForOK(t, "/a/x")
 	late := leaving.lateHeartbeat(t)
 	m.store.SetFaults(standin.Faults{Refuse: true})
-	assert.Assert(t, !leaving.sendReport("leave", "", 0))
+	assert.Assert(t, !leaving.sendReport("leave", "", 0, firstBorn))
 	time.Sleep(time.Second) // the target may get calls for a part of the drain period
 	assertUnused(t, leaving, m.hosts[2])
 	m.store.SetFaults(standin.Faults{})
-	assert.Assert(t, leaving.sendReport("leave", "", 0))
+	assert.Assert(t, leaving.sendReport("leave", "", 0, firstBorn))
 	leaving.restartNode(t)
-	leaving.sendReport("heartbeat", "ready", late)
+	leaving.sendReport("heartbeat", "ready", late, firstBorn)
 	assertUnused(t, leaving, m.hosts[2])
 }
 
@@ -82,15 +82,40 @@
 	leaving := m.hosts[0]
 	leaving.waitForOK(t, "/a/x")
 	late := leaving.lateHeartbeat(t)
-	assert.Assert(t, leaving.sendReport("leave", "", 0))
+	assert.Assert(t, leaving.sendReport("leave", "", 0, firstBorn))
 	m.store.SetFaults(standin.Faults{Unresponsive: true})
 	leaving.restartNode(t)
 	for range 3 {
-		assert.Assert(t, !leaving.sendReport("heartbeat", "ready", late))
+		assert.Assert(t, !leaving.sendReport("heartbeat", "ready", late, firstBorn))
 	}
 	assertUnused(t, leaving, m.hosts[2])
 	m.store.SetFaults(standin.Faults{})
 	time.Sleep(2 * time.Second)
-	leaving.sendReport("heartbeat", "ready", late)
+	leaving.sendReport("heartbeat", "ready", late, firstBorn)
 	assertUnused(t, leaving, m.hosts[2])
 }
+
+// TestDepartureAfterClockJumpedBack guards against a departure that is acknowledged and ignored: the
+// target was restarted after the clock of its host had jumped back.
+func TestDepartureAfterClockJumpedBack(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct{ kind, state string }{
+		"leave": {kind: "leave"},
+		"drain": {kind: "heartbeat", state: "draining"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := startMesh(t, "first", "first", "second")
+			leaving := m.hosts[0]
+			leaving.waitForOK(t, "/a/x")
+			late := leaving.lateHeartbeat(t)
+			assert.Assert(t, leaving.sendReport("heartbeat", "ready", 1, firstBorn-900))
+			assert.Assert(t, leaving.sendReport(test.kind, test.state, 2, firstBorn-900))
+			time.Sleep(time.Second) // the target may get calls for a part of the drain period
+			assertUnused(t, leaving, m.hosts[2])
+			leaving.sendReport("heartbeat", "ready", late, firstBorn)
+			assertUnused(t, leaving, m.hosts[2])
+		})
+	}
+}
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -166,6 +166,7 @@
 	}
 	n.hub = &carrier.Hub{Self: n.self, Server: n, Log: n.Log, AddPeers: n.AddPeers}
 	n.deliverer.OnStateChange = n.hub.Announce
+	n.deliverer.OnMisdirected = func(run tracker.Run) { n.enqueue(func() { n.target.Misdirected(run) }) }
 	n.deliverer.DrainGrace = min(maxDrainGrace, s.Bounds.DrainPeriod/2)
 	n.forwarder = &forwarder.Forwarder{
 		Log:           n.Log,
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -166,16 +166,19 @@
 	}()
 }
 
+// firstBorn is the start time of a target's first run in Unix milliseconds.
+const firstBorn = 1000
+
 // sendHeartbeat sends one heartbeat and reports whether it was acknowledged.
 func (h *host) sendHeartbeat(state string) bool {
-	return h.sendReport("heartbeat", state, h.sequence.Add(1))
+	return h.sendReport("heartbeat", state, h.sequence.Add(1), firstBorn)
 }
 
 // sendReport sends a heartbeat or leave message and reports whether it was acknowledged.
-func (h *host) sendReport(kind, state string, sequence int64) bool {
+func (h *host) sendReport(kind, state string, sequence, born int64) bool {
 	body, _ := json.Marshal(map[string]any{
 		"service": h.service, "address": h.settings.Target, "zone": h.settings.FailureDomain, "slots": 4,
-		"state": state, "sequence": sequence, "born": 1000,
+		"state": state, "sequence": sequence, "born": born,
 	})
 	url := fmt.Sprintf("http://%s%s?call=instances.%s&of=i-%s", h.settings.Control, platform.PathReports, kind, h.settings.Node)
 	response, err := http.Post(url, "application/json", bytes.NewReader(body))
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -109,6 +108,9 @@
 		return verdict, true
 	}
 	verdict, done := n.observe(report)
+	if verdict == tracker.Foreign {
+		return verdict, false
+	}
 	select {
 	case <-done:
 		return verdict, true
@@ -133,8 +135,8 @@
 		if verdict == tracker.Accepted {
 			n.deliverer.Update(current, time.Now())
 		}
-		if report.State != tracker.Serving {
-			stored = n.retainer.Save(n.target.Departed)
+		if departures := n.target.Departures(); len(departures) > 0 {
+			stored = n.retainer.Save(departures)
 		}
 		if verdict != tracker.Accepted || before.State != current.State || before.ID != current.ID {
 			n.Log.Info("target: report "+verdict.String(),
@@ -153,19 +155,19 @@
 
 // restoreDepartures applies the departures that earlier processes of this node acknowledged, and
 // returns when it is done or the node has stopped.
-func (n *Node) restoreDepartures(departed []tracker.Run) {
+func (n *Node) restoreDepartures(departures []tracker.Departure) {
 	done := make(chan struct{})
 	n.enqueue(func() {
 		defer close(done)
-		acknowledged := len(n.target.Departed) > 0
-		n.target.Restore(departed)
+		received := len(n.target.Departures()) > 0
+		n.target.Restore(departures, time.Now())
 		if n.target.Current.State != tracker.Unreported {
 			n.deliverer.Update(n.target.Current, time.Now())
 		}
-		if acknowledged {
-			n.retainer.Save(n.target.Departed)
+		if received {
+			n.retainer.Save(n.target.Departures())
 		}
-		n.Log.Info("target: departures loaded", zap.Int("departures", len(departed)))
+		n.Log.Info("target: departures loaded", zap.Int("departures", len(departures)))
 	})
 	select {
 	case <-done:
@@ -175,20 +177,20 @@
 
 // dump is the state of the process as it is written in JSON.
 type dump struct {
-	Node       string           `json:"node"`
-	Started    time.Time        `json:"started"`
-	Stopping   bool             `json:"stopping"`
-	Version    uint64           `json:"version"`
-	Target     tracker.Report   `json:"target"`
-	Departed   []tracker.Run    `json:"departed"` // runs of the target that drain or have left
-	Serving    bool             `json:"serving"`
-	Slots      int              `json:"slots"`
-	InUse      int              `json:"use"`
-	Waiting    int              `json:"waiting"`
-	MeanMillis float64          `json:"mean"`
-	Links      []dumpLink       `json:"links"`
-	Counts     map[string]int64 `json:"counts"`
-	Dropped    int64            `json:"dropped"`
+	Node       string              `json:"node"`
+	Started    time.Time           `json:"started"`
+	Stopping   bool                `json:"stopping"`
+	Version    uint64              `json:"version"`
+	Target     tracker.Report      `json:"target"`
+	Departures []tracker.Departure `json:"departures"`
+	Serving    bool                `json:"serving"`
+	Slots      int                 `json:"slots"`
+	InUse      int                 `json:"use"`
+	Waiting    int                 `json:"waiting"`
+	MeanMillis float64             `json:"mean"`
+	Links      []dumpLink          `json:"links"`
+	Counts     map[string]int64    `json:"counts"`
+	Dropped    int64               `json:"dropped"`
 }
 
 // dumpLink describes a link and the node at its other end.
@@ -206,21 +208,21 @@
 
 // dump returns the current state.
 func (n *Node) dump() dump {
-	targets := make(chan tracker.Tracker, 1)
-	n.enqueue(func() {
-		target := n.target
-		target.Departed = slices.Clone(target.Departed)
-		targets <- target
-	})
+	type target struct {
+		report     tracker.Report
+		departures []tracker.Departure
+	}
+	targets := make(chan target, 1)
+	n.enqueue(func() { targets <- target{report: n.target.Current, departures: n.target.Departures()} })
 	state := n.deliverer.State()
-	target := <-targets
+	current := <-targets
 	d := dump{
 		Node:       n.self.Node,
 		Started:    n.started,
 		Stopping:   n.stopping.Load(),
 		Version:    n.Version(),
-		Target:     target.Current,
-		Departed:   target.Departed,
+		Target:     current.report,
+		Departures: current.departures,
 		Serving:    state.Serving,
 		Slots:      state.Slots,
 		InUse:      state.InUse,
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -1,11 +1,8 @@
-// Package tracker keeps the newest valid report of the target on this host, and the runs of the target
-// that have left.
+// Package tracker keeps the newest valid report of the target on this host, and the departures of the
+// target's runs.
 package tracker
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // State is the availability of a target.
 type State int
@@ -31,27 +28,25 @@
 	return "unheard"
 }
 
+// Run identifies one run of a target.
+type Run struct {
+	ID   string // ID of the target's instance; a later run may reuse it
+	Born int64  // start time in Unix milliseconds by the clock of the host; 0 if unknown
+}
+
 // Report is a heartbeat or a leave message of a target. The state dump encodes it as JSON under the Go
 // names of its fields.
 type Report struct {
-	ID       string // ID of the target's instance; a later run may reuse it
+	Run
+
 	Service  string
 	Address  string
 	Slots    int // number of calls that the target runs at the same time
 	State    State
 	Cold     time.Duration // time from the report on for which the target is still slow after its start
 	Sequence uint64        // number that increases with each report of one run of the target
-	Born     int64         // start time of the target in Unix milliseconds; 0 if unknown
 }
 
-// Run identifies one run of a target. A later run may have the same ID.
-type Run struct {
-	ID   string
-	Born int64 // start time in Unix milliseconds; 0 if unknown
-}
-
-func (r *Report) run() Run { return Run{ID: r.ID, Born: r.Born} }
-
 // Verdict is the result of checking a report.
 type Verdict int
 
@@ -76,125 +71,109 @@
 	return "foreign"
 }
 
-// maxClockSkew is the maximum tolerated difference between the clocks of a target and of its node.
-const maxClockSkew = 3 * time.Second
-
-// MaxReportDelay is the longest time that a report may take from the target to its node. A partition
-// delays reports by seconds.
-const MaxReportDelay = 10 * time.Second
-
-// maxDepartures is the number of departures that are kept.
-const maxDepartures = 8
-
-// Tracker stores the newest report of the target at one address. Heartbeats may arrive late: one of an
-// earlier run, or from before a drain, must not make the target available again, also if the node has
-// restarted since.
+// Tracker stores the newest report of the target at one address. Reports may arrive late: one of an
+// earlier run, or from before a departure, must not make the target available again, also if the node
+// has restarted since.
+//
+// The time of day orders no reports where that could break a promise, since it may have jumped between
+// two starts of the target. There, a report counts only if it must have been sent after the departure,
+// or because the target itself rejects calls for another instance.
 type Tracker struct {
-	Service  string
-	Address  string
-	Current  Report // newest accepted report
-	Departed []Run  // runs that drain or have left, oldest first
+	Service string
+	Address string
+	Current Report // newest accepted report
 
 	// Loading is the time since which the departures that earlier processes of this node
-	// acknowledged are being loaded. It is zero once they are in Departed.
+	// acknowledged are being loaded. It is zero once they are restored.
 	Loading time.Time
 
-	leaveReceived int64 // Unix milliseconds at which the leave message of an unreported run arrived
+	heard    time.Time   // arrival of the last report of the current run
+	departed []departure // oldest first
 }
 
-// Observe checks a report and stores it if it supersedes the current one. now is the wall clock
-// time.
+// Observe checks a report that arrives now and applies it. An accepted departure is in effect, so it
+// may be acknowledged once it is stored.
 func (t *Tracker) Observe(report Report, now time.Time) Verdict {
-	if report.State == Gone {
-		return t.observeLeave(report, now)
-	}
-	if report.Service != t.Service || report.Address != t.Address {
+	if report.State != Gone && (report.Service != t.Service || report.Address != t.Address) {
 		return Foreign
 	}
-	if !t.supersedes(report) {
-		return Stale
+	report.Born = t.knownBorn(report.Run)
+	if report.State != Serving {
+		return t.observeDeparture(report, now)
 	}
-	if report.State == Serving {
-		if slices.Contains(t.Departed, report.run()) {
-			return Stale
-		}
-		if t.mayPredateStart(now) {
-			return Unconfirmed
-		}
-	} else {
-		t.addDeparture(report.run())
+	verdict := t.judgeHeartbeat(&report, now)
+	if verdict == Accepted {
+		t.endDepartures(report.Run)
+		t.Current = report
+		t.heard = now
 	}
-	t.Current = report
-	return Accepted
-}
-
-// mayPredateStart reports whether a report that arrives now may have been sent before this process
-// started, while it is unknown which departures earlier processes acknowledged.
-func (t *Tracker) mayPredateStart(now time.Time) bool {
-	return !t.Loading.IsZero() && now.Sub(t.Loading) < MaxReportDelay
+	return verdict
 }
 
-// Restore adds the departures that earlier processes of this node acknowledged.
-func (t *Tracker) Restore(departed []Run) {
-	t.Loading = time.Time{}
-	since := t.Departed
-	t.Departed = slices.Clone(departed)
-	for _, run := range since {
-		t.addDeparture(run)
+// knownBorn returns the start time of a run. A run without one is the known run with the same ID.
+func (t *Tracker) knownBorn(run Run) int64 {
+	if run.Born != 0 {
+		return run.Born
 	}
-	if t.Current.State == Serving && slices.Contains(t.Departed, t.Current.run()) {
-		t.Current.State = Gone
+	if run.ID == t.Current.ID {
+		return t.Current.Born
 	}
+	for i := range t.departed {
+		if d := &t.departed[i]; d.ID == run.ID && !d.Over {
+			return d.Born
+		}
+	}
+	return 0
 }
 
-// addDeparture stores a run that drains or has left. The oldest one is dropped if there are too many.
-func (t *Tracker) addDeparture(run Run) {
-	if slices.Contains(t.Departed, run) {
-		return
+// judgeHeartbeat decides whether a heartbeat of a serving target is to replace the current report.
+func (t *Tracker) judgeHeartbeat(report *Report, now time.Time) Verdict {
+	if !t.Loading.IsZero() && now.Sub(t.Loading) < MaxReportDelay {
+		return Unconfirmed // may have been sent before this process started
+	}
+	if verdict := t.judgeByDepartures(report, now); verdict != Accepted {
+		return verdict
 	}
-	t.Departed = append(t.Departed, run)
-	if len(t.Departed) > maxDepartures {
-		t.Departed = slices.Delete(t.Departed, 0, len(t.Departed)-maxDepartures)
+	current := &t.Current
+	switch {
+	case current.State == Unreported:
+		return Accepted
+	case report.Run == current.Run:
+		if report.Sequence <= current.Sequence {
+			return Stale
+		}
+		return Accepted
+	case report.ID == current.ID:
+		return Accepted // calls reach either run, and both serve
+	case report.Born > current.Born, now.Sub(t.heard) >= MaxReportDelay:
+		// The target rejects calls if the other run is the newer one.
+		return Accepted
 	}
+	return Unconfirmed
 }
 
-// observeLeave handles the end of a run of the target. The end of a run that sent no report so far is
-// stored too, so that its late heartbeats are rejected.
-func (t *Tracker) observeLeave(report Report, now time.Time) Verdict {
-	if t.Current.State != Unreported && !t.sameRun(report) && report.Born <= t.Current.Born {
+// observeDeparture applies a drain or a leave message. It takes effect if calls may reach the departing
+// run: the target rejects those that are for an instance with another ID.
+func (t *Tracker) observeDeparture(report Report, now time.Time) Verdict {
+	if d := t.departure(report.Run); d != nil && d.Over {
 		return Stale
 	}
-	if t.sameRun(report) {
+	t.addDeparture(report.Run, now)
+	switch {
+	case report.Run == t.Current.Run && report.State == Gone:
 		t.Current.State = Gone
-		t.addDeparture(t.Current.run())
+	case report.ID == t.Current.ID, t.Current.State == Unreported:
+		t.Current = report
+	default:
 		return Accepted
 	}
-	t.addDeparture(report.run())
-	t.Current = report
-	t.leaveReceived = now.UnixMilli()
+	t.heard = now
 	return Accepted
 }
 
-// sameRun reports whether a report comes from the same run of the target as the current one. A report
-// without a start time matches by ID alone.
-func (t *Tracker) sameRun(report Report) bool {
-	return report.ID == t.Current.ID && (report.Born == 0 || report.Born == t.Current.Born)
-}
-
-// supersedes reports whether a heartbeat is to replace the current report.
-func (t *Tracker) supersedes(report Report) bool {
-	current := &t.Current
-	if current.State == Unreported {
-		return true
-	}
-	if t.sameRun(report) {
-		endsDrain := current.State == Draining && report.State == Serving
-		return current.State != Gone && report.Sequence > current.Sequence && !endsDrain
-	}
-	if current.State == Gone && current.Born == 0 && report.ID == current.ID {
-		// The leave message gave no start time, so it is taken to end a run that started well
-		// before the message arrived.
-		return report.Born > t.leaveReceived-maxClockSkew.Milliseconds()
+// Misdirected records that the target has rejected a call because it is not the current run.
+func (t *Tracker) Misdirected(run Run) {
+	if t.Current.Run == run {
+		t.Current = Report{}
 	}
-	return report.Born > current.Born
 }
