Order the processes of a node without the time of day

After the clock of a host had been set back, a restarted node could not write its entry until the old one expired, and its peers preferred a link to the ended process until it was detected as dead.

Change: the order of the writes to the store decides who owns the entry, and the order in which links come up decides which one leads to the later process.

--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -330,3 +330,19 @@
 		t.Fatal("no peers were received")
 	}
 }
+
+// TestLinkToLaterProcess guards against calls on the link to a process that has ended: its peer has started
+// again after its clock was set back.
+func TestLinkToLaterProcess(t *testing.T) {
+	for name, started := range map[string]int64{"clock set back": 4, "clock ahead": 6} {
+		t.Run(name, func(t *testing.T) {
+			h := &Hub{Self: Peer{Node: "near", Started: 5}, allLinks: make(map[*Link]struct{})}
+			ended := &Link{Peer: Peer{Node: "far", Started: 5}}
+			later := &Link{Peer: Peer{Node: "far", Started: started}}
+			assert.Assert(t, h.add(ended))
+			assert.Assert(t, h.add(later))
+			assert.Equal(t, len(h.Links()), 1)
+			assert.Equal(t, h.Links()[0], later)
+		})
+	}
+}
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -42,6 +42,7 @@
 	linksByService map[string][]*Link    // the same links, by the service of the node's target
 	linked         map[string]struct{}   // memory for the addresses of linked peers
 	closed         bool
+	added          uint64    // number of links that were ever registered
 	helloCount     int       // number of hellos sent by connect
 	fetchVersion   uint64    // newest version that was requested
 	fetchTime      time.Time // time of the last request for a configuration
@@ -135,6 +136,8 @@
 	if h.closed || l.Peer.Node == h.Self.Node {
 		return false
 	}
+	h.added++
+	l.order = h.added
 	h.allLinks[l] = struct{}{}
 	h.selectLinks()
 	return true
@@ -168,12 +171,13 @@
 	}
 }
 
-// preferred reports whether link a to a node is preferred to link b: the link to the process
-// that started later, and among links to the same process the one dialed by the later started
-// of the two nodes. Both sides choose the same link, so that the others become idle.
+// preferred reports whether link a to a node is preferred to link b: the link that came up later if
+// they lead to two processes, since only the later one can have completed its handshake, and among
+// links to the same process the one dialed by the later started of the two nodes. Both sides choose the
+// same link, so that the others become idle.
 func (h *Hub) preferred(a, b *Link) bool {
 	if a.Peer.Started != b.Peer.Started {
-		return a.Peer.Started > b.Peer.Started
+		return a.order > b.order
 	}
 	if a.dialed != b.dialed {
 		return a.dialed == h.dialsFirst(a.Peer)
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -61,6 +61,7 @@
 
 	dialed bool   // whether this node dialed the other one
 	id     uint64 // random; the same on both sides
+	order  uint64 // number in the order in which this node's links came up
 	hub    *Hub
 	server Server
 	uplink *pacer.Gate
--- a/internal/proxy/finder/entry.go
+++ b/internal/proxy/finder/entry.go
@@ -39,12 +39,13 @@
 	}
 }
 
-// errSuperseded is returned when a process of this node that started later owns the entry.
-var errSuperseded = merry.Sentinel("entry belongs to a process of this node that started later")
+// errSuperseded is returned when another process of this node has written the entry since this one did.
+var errSuperseded = merry.Sentinel("entry belongs to a process of this node that wrote it later")
 
-// ensureEntry writes this node's entry under a new lease, unless a process of this node that
-// started later has written it. The first call assumes that the entry does not exist, to save
-// a read.
+// ensureEntry writes this node's entry under a new lease, unless another process of this node has
+// written it since. Its first write replaces the entry of any other process. The order of the writes
+// decides, since the time of day may have been set back between two starts. The first call assumes that
+// the entry does not exist, to save a read.
 func (f *Finder) ensureEntry() error {
 	key := platform.PrefixNodes + f.Self.Node
 	if !f.entryMayExist {
@@ -63,7 +64,7 @@
 	if err == nil {
 		err = cbor.Unmarshal(item.Value, &peer)
 	}
-	if err == nil && peer.Started > f.Self.Started {
+	if err == nil && peer.Started != f.Self.Started && f.entryWritten.Load() != nil {
 		return errSuperseded
 	}
 	if err == nil && peer.Started == f.Self.Started && item.Lease == f.lease {
