Take a response as the target's answer only if it has the ID of the call

Cause: a response without a request ID was accepted unless it reported a success, "since it promises nothing", but its not-run header or status 421 was then taken as the promise that the request has not run, and a 503, 429 or 408 was passed on to the client.

Change: a response without the ID of the call is skipped like one with another ID, and the node reads on, after one without an ID for a limited time.

--- a/internal/proxy/deliverer/conn.go
+++ b/internal/proxy/deliverer/conn.go
@@ -54,16 +54,32 @@
 )
 
 var (
-	errStray  = merry.Sentinel("answer to another request")
+	errStray  = merry.Sentinel("no response with the ID of the request")
 	errClosed = merry.Sentinel("connection closed by target")
 )
 
 // conn is one connection to the target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader  *bufio.Reader
-	idle    time.Time     // start of the idle time
-	maxIdle time.Duration // idle time after which the connection is not used again
+	reader   *bufio.Reader
+	idle     time.Time     // start of the idle time
+	maxIdle  time.Duration // idle time after which the connection is not used again
+	deadline time.Time     // deadline of the current exchange
+}
+
+// setDeadline sets the deadline of an exchange.
+func (c *conn) setDeadline(deadline time.Time) error {
+	c.deadline = deadline
+	return c.SetDeadline(deadline)
+}
+
+// shortenReadDeadline sets the time until which the response is read, unless it is later than the
+// deadline of the exchange.
+func (c *conn) shortenReadDeadline(deadline time.Time) error {
+	if deadline.After(c.deadline) {
+		return nil
+	}
+	return c.SetReadDeadline(deadline)
 }
 
 func connect(address string) (*conn, error) {
@@ -149,9 +165,10 @@
 	out.WriteString("\r\n")
 }
 
-// read reads the response to a call. It skips responses with the ID of another request, which a
-// target may have sent late. A failure without an ID is accepted, since it promises nothing.
-func (c *conn) read(call *carrier.Call, response *fasthttp.Response, maxBody int) error {
+// read reads the response to a call. It skips responses that do not have the ID of the call: a faulty
+// target may send additional ones, whose statuses prove nothing about this call. After one without an
+// ID it reads on until unidentifiedWait has passed, since that may have been the target's response.
+func (c *conn) read(call *carrier.Call, response *fasthttp.Response, maxBody int, unidentifiedWait time.Duration) error {
 	for range maxResponsesRead {
 		response.SkipBody = string(call.Method) == fasthttp.MethodHead
 		response.Header.SetNoDefaultContentType(true)
@@ -166,23 +183,17 @@
 		if bytes.Equal(id, call.ID) {
 			return nil
 		}
-		if len(id) == 0 {
-			return checkAnonymous(response)
+		if len(id) == 0 && unidentifiedWait > 0 {
+			if err := c.shortenReadDeadline(time.Now().Add(unidentifiedWait)); err != nil {
+				return err
+			}
+			unidentifiedWait = 0
 		}
 		response.Reset()
 	}
 	return errStray
 }
 
-// checkAnonymous returns an error if a response without an ID reports success, since nothing shows
-// which request succeeded.
-func checkAnonymous(response *fasthttp.Response) error {
-	if status := response.StatusCode(); status >= 200 && status < 300 {
-		return errStray
-	}
-	return nil
-}
-
 // reusable reports whether the connection can carry another request after a response, and sets the
 // time for which it may be idle.
 func (c *conn) reusable(response *fasthttp.Response, bodyWritten <-chan error) bool {
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -29,6 +29,10 @@
 	// still read, since a target may respond itself when the time limit passes.
 	responseGrace = 60 * time.Millisecond
 
+	// minUnidentifiedWait is the minimum time for which the target's response is awaited after one
+	// without an ID.
+	minUnidentifiedWait = 50 * time.Millisecond
+
 	// minRemaining is the minimum time before the deadline at which a queued call is still sent
 	// to the target.
 	minRemaining = 10 * time.Millisecond
--- a/internal/proxy/deliverer/exchange.go
+++ b/internal/proxy/deliverer/exchange.go
@@ -14,7 +14,7 @@
 // exchange sends a call on a connection and reads the response.
 func (d *Deliverer) exchange(v *delivery, c *conn, instance string) *carrier.Answer {
 	deadline := v.Arrived.Add(v.call.Remaining)
-	if err := c.SetDeadline(deadline.Add(responseGrace)); err != nil {
+	if err := c.setDeadline(deadline.Add(responseGrace)); err != nil {
 		_ = c.Close() // the next call opens another connection
 		return &carrier.Answer{Outcome: carrier.Refused, Reason: "connection lost"}
 	}
@@ -39,7 +39,7 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	err = c.read(v.call, response, d.maxBody())
+	err = c.read(v.call, response, d.maxBody(), d.unidentifiedWait())
 	d.mu.Lock()
 	v.conn = nil
 	d.mu.Unlock()
@@ -68,6 +68,13 @@
 	return min(max(perSlot, minResponseBody), maxResponseBody)
 }
 
+// unidentifiedWait returns the time for which the target's response is awaited after one without an ID.
+func (d *Deliverer) unidentifiedWait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(ampleTimeFactor*d.queue.Load().Mean, minUnidentifiedWait)
+}
+
 // readFailure returns the outcome of a call whose response could not be read.
 func readFailure(err error, now, deadline time.Time) *carrier.Answer {
 	if !now.Before(deadline) {
