--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -3,8 +3,10 @@
 package carrier
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"clementinerock/internal/proxy/matcher"
@@ -119,6 +121,21 @@
 	MilliCPU      int   // thousandths of a processor core that the process may use
 }
 
+// maxPeerText is the maximum length in bytes of each text of a valid peer.
+const maxPeerText = 256
+
+// Check returns an error if no node can be reached by the peer's properties. Peers come from the store,
+// to which others write as well, and from other nodes.
+func (p *Peer) Check() error {
+	if _, err := netip.ParseAddrPort(p.Address); err != nil {
+		return merry.Prepend(err, "peer: address")
+	}
+	if max(len(p.Node), len(p.FailureDomain), len(p.Service)) > maxPeerText {
+		return merry.Errorf("peer: a text is longer than %d bytes", maxPeerText)
+	}
+	return nil
+}
+
 // hello is the first frame in both directions of a link.
 type hello struct {
 	_            struct{} `cbor:",toarray"`
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -60,6 +60,9 @@
 	// the headers of packets.
 	paceableShare = 0.92
 
+	// maxLoggedName is the maximum length in bytes of the name of an invalid peer in a log line.
+	maxLoggedName = 64
+
 	// minBudgetNodes is the minimum number of nodes among which the slack of a service's retry
 	// budget is divided.
 	minBudgetNodes = 10
@@ -246,6 +249,10 @@
 	if peer.Address == "" || peer.Address == n.self.Address {
 		return false
 	}
+	if err := peer.Check(); err != nil {
+		n.Log.Warn("node: invalid peer ignored", zap.String("node", peer.Node[:min(len(peer.Node), maxLoggedName)]), recorder.Err(err))
+		return false
+	}
 	k, ok := n.peers[peer.Address]
 	if !ok {
 		k = &knownPeer{}
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -158,7 +158,7 @@
 			select {
 			case <-h.stopHeartbeats:
 				return
-			case <-h.stop:
+			case <-t.Context().Done():
 				return
 			case <-time.After(100 * time.Millisecond):
 			}
