Measure durations by the steady clock

A step of seconds while a ping is open closes a link and fails its calls; a step forward forgets a part of a budget's window.

Change: these times are kept as durations since the start of the process.

--- a/internal/node/expirer/expirer.go
+++ b/internal/node/expirer/expirer.go
@@ -1,5 +1,6 @@
-// Package expirer holds points in time until which something is permitted. They also pass while the
-// host is suspended, which the monotonic clock of the runtime does not count.
+// Package expirer holds points in time that do not depend on the time of day, which may be set. The ends of
+// permissions also pass while the host is suspended, which the monotonic clock of the runtime does not
+// count.
 package expirer
 
 import (
@@ -34,6 +35,13 @@
 // Passed reports whether a permission has ended.
 func (c Clock) Passed(e Expiry) bool { return !e.set || c.now() >= e.end }
 
+// started is a time before all others that SinceStart converts.
+var started = time.Now()
+
+// SinceStart converts a time of this process to the duration since its start. It is not affected by changes
+// of the time of day, and does not include the time for which the host was suspended.
+func SinceStart(t time.Time) time.Duration { return t.Sub(started) }
+
 // Expiry is the end of a permission. The zero value has passed.
 type Expiry struct {
 	end time.Duration
--- a/internal/node/expirer/expirer_test.go
+++ b/internal/node/expirer/expirer_test.go
@@ -23,3 +23,9 @@
 	time.Sleep(15 * time.Millisecond)
 	assert.Assert(t, Clock(nil).Passed(expiry))
 }
+
+func TestSinceStart(t *testing.T) {
+	now := time.Now()
+	assert.Assert(t, SinceStart(now) > 0)
+	assert.Equal(t, SinceStart(now.Add(time.Second))-SinceStart(now), time.Second)
+}
--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"clementinerock/internal/node/expirer"
 	"clementinerock/internal/node/recorder"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/forwarder"
@@ -54,7 +55,7 @@
 	stopping     atomic.Bool  // set by Stop
 	refusing     atomic.Bool  // set by Refuse
 	openRequests atomic.Int64 // number of requests being served
-	lastRequest  atomic.Int64 // Unix nanoseconds when the last request arrived
+	lastRequest  atomic.Int64 // arrival of the last request, as a duration since the start of the process
 	listener     net.Listener
 	mu           sync.Mutex
 	conns        map[*clientConn]struct{}
@@ -113,7 +114,7 @@
 
 // IdleTime returns the time since the last request arrived.
 func (a *Acceptor) IdleTime() time.Duration {
-	return time.Duration(time.Now().UnixNano() - a.lastRequest.Load())
+	return expirer.SinceStart(time.Now()) - time.Duration(a.lastRequest.Load())
 }
 
 // Close accepts no more requests: connections without a request are closed now, the others
@@ -196,7 +197,7 @@
 	}
 	defer c.phase.CompareAndSwap(phaseBusy, phaseIdle)
 	arrived := time.Now()
-	a.lastRequest.Store(arrived.UnixNano())
+	a.lastRequest.Store(int64(expirer.SinceStart(arrived)))
 	if c.SetReadDeadline(arrived.Add(limits.HeaderTimeout)) != nil {
 		return false
 	}
--- a/internal/proxy/budgeter/budgeter.go
+++ b/internal/proxy/budgeter/budgeter.go
@@ -20,19 +20,23 @@
 	Slack  float64       // allowed retries per window, independent of the number of requests
 	Window time.Duration // length of the sliding window
 
+	began   time.Time // time of the first count
 	buckets [bucketsPerWindow + 1]bucket
 }
 
 // bucket holds the counts of one part of a window.
 type bucket struct {
-	number   int64 // index of the part, counted from the Unix epoch
+	number   int64 // index of the part, counted from 1 at the first count; 0 if the bucket is unused
 	requests int
 	retries  int
 }
 
 // bucketAt returns the bucket of a point in time, cleared if it still holds older counts.
 func (b *Budget) bucketAt(now time.Time) *bucket {
-	number := now.UnixNano() / int64(b.Window/bucketsPerWindow)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	number := 1 + int64(max(now.Sub(b.began), 0)/(b.Window/bucketsPerWindow))
 	p := &b.buckets[number%int64(len(b.buckets))]
 	if p.number != number {
 		*p = bucket{number: number}
--- a/internal/proxy/budgeter/budgeter_test.go
+++ b/internal/proxy/budgeter/budgeter_test.go
@@ -71,3 +71,17 @@
 	assert.Equal(t, spent[false], 4)
 	assert.Equal(t, spent[true], 4)
 }
+
+// TestCountBeforeTheFirst checks that a request that arrived before the first counted one is counted.
+func TestCountBeforeTheFirst(t *testing.T) {
+	b := Budget{Ratio: 1, Window: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	b.AddRequest(now)
+	for range 9 {
+		b.AddRequest(now.Add(-time.Minute))
+	}
+	for range 8 {
+		assert.Assert(t, b.AllowRetry(now, true))
+	}
+	assert.Assert(t, !b.AllowRetry(now, true))
+}
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"clementinerock/internal/node/expirer"
 	"clementinerock/internal/proxy/matcher"
 	"clementinerock/internal/proxy/pacer"
 )
@@ -84,12 +85,12 @@
 	closed        bool
 
 	state        atomic.Pointer[State]     // last state received
-	stateTime    atomic.Int64              // Unix nanoseconds when the state was received
+	stateTime    atomic.Int64              // time of the last state, as a duration since the start of the process
 	usual        atomic.Pointer[usualLoad] // load that the states received usually show
 	openCalls    atomic.Int64              // number of calls sent that have no answer yet
 	openAtReport atomic.Int64              // openCalls when the state was received
-	lastFrame    atomic.Int64              // Unix nanoseconds when the last frame was received
-	pingSent     atomic.Int64              // Unix nanoseconds when the unanswered ping was sent, or 0
+	lastFrame    atomic.Int64              // time of the last frame, likewise
+	pingSent     atomic.Int64              // time of the unanswered ping, likewise, or 0
 	suspect      atomic.Bool               // this node's ping is overdue, or another node suspects the peer
 	pingOverdue  atomic.Bool               // this node's ping has had no answer for suspectTimeout
 }
@@ -161,9 +162,9 @@
 		return nil, merry.Prepend(err, "decode hello")
 	}
 	l.Peer = other.Self
-	now := time.Now().UnixNano()
-	l.lastFrame.Store(now)
-	l.stateTime.Store(now)
+	now := expirer.SinceStart(time.Now())
+	l.lastFrame.Store(int64(now))
+	l.stateTime.Store(int64(now))
 	l.state.Store(&other.State)
 	return other, nil
 }
@@ -171,7 +172,7 @@
 // State returns the last state received from the peer, the numbers of calls that this node has
 // open there now and had open when that state arrived, and the time since it arrived.
 func (l *Link) State() (state State, openCalls, openAtReport int, age time.Duration) {
-	age = time.Duration(time.Now().UnixNano() - l.stateTime.Load())
+	age = expirer.SinceStart(time.Now()) - time.Duration(l.stateTime.Load())
 	return *l.state.Load(), int(l.openCalls.Load()), int(l.openAtReport.Load()), age
 }
 
@@ -184,7 +185,7 @@
 		l.hub.handleNewerVersion(l)
 	}
 	l.openAtReport.Store(l.openCalls.Load())
-	l.stateTime.Store(time.Now().UnixNano())
+	l.stateTime.Store(int64(expirer.SinceStart(time.Now())))
 }
 
 // send writes one frame at once and charges it to the uplink. If the write fails, the peer can't
@@ -251,7 +252,7 @@
 			l.Close()
 			return err
 		}
-		l.lastFrame.Store(time.Now().UnixNano())
+		l.lastFrame.Store(int64(expirer.SinceStart(time.Now())))
 		if err := l.dispatch(frameKind, body); err != nil {
 			l.Close()
 			return err
--- a/internal/proxy/carrier/liveness.go
+++ b/internal/proxy/carrier/liveness.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"clementinerock/internal/node/expirer"
 )
 
 const (
@@ -25,7 +27,7 @@
 
 // SinceLastFrame returns the time since the peer's last frame was received.
 func (l *Link) SinceLastFrame(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - l.lastFrame.Load())
+	return expirer.SinceStart(now) - time.Duration(l.lastFrame.Load())
 }
 
 // Suspect reports whether the peer is suspect: a ping of this node or of another one was not
@@ -50,7 +52,7 @@
 		l.pingOverdue.Store(false)
 		return
 	}
-	unanswered := time.Duration(now.UnixNano() - pingSent)
+	unanswered := expirer.SinceStart(now) - time.Duration(pingSent)
 	if unanswered > pingTimeout {
 		l.Close()
 		return
@@ -76,7 +78,7 @@
 
 // sendPing sends a ping and records its time.
 func (l *Link) sendPing(now time.Time) {
-	l.pingSent.Store(now.UnixNano())
+	l.pingSent.Store(int64(expirer.SinceStart(now)))
 	go l.sendOrClose(kindPing, &stateFrame{State: l.server.State()})
 }
 
@@ -84,7 +86,7 @@
 // and may not have read the answer yet.
 func (l *Link) restartPingTimeout(now time.Time) {
 	if pingSent := l.pingSent.Load(); pingSent != 0 {
-		l.pingSent.CompareAndSwap(pingSent, now.UnixNano())
+		l.pingSent.CompareAndSwap(pingSent, int64(expirer.SinceStart(now)))
 	}
 }
 
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -155,7 +155,7 @@
 		Address:       s.Peer,
 		FailureDomain: s.FailureDomain,
 		Service:       s.Service,
-		Started:       n.started.UnixNano(),
+		Started:       n.started.UnixNano(), //nolint:forbidigo // tells processes of the same node apart
 		MilliCPU:      s.MilliCPU,
 	}
 	n.ended = make(chan struct{})
