Free a canceled call at the node that serves it

Cause: a call of another node stayed in Link.serving until it was answered. One that was canceled while it waited for a slot was removed from the queue and never answered.

Change: canceling removes the entry first, in whatever state the call is; a call that runs on has its answer dropped. The timer of a wait is stopped, and a call that arrives while its link is closed is canceled. Gauges and the dump show the calls and bytes held at each stage.

--- a/internal/proxy/carrier/exchange.go
+++ b/internal/proxy/carrier/exchange.go
@@ -11,6 +11,7 @@
 	answers    chan *Answer
 	idempotent bool
 	confirmed  bool   // whether this node has confirmed the call
+	size       int    // of the body of the request in bytes
 	body       []byte // pieces of the answer's body received so far
 }
 
@@ -41,7 +42,7 @@
 // canceled and the answer is nil. If the link breaks, or the peer has not answered when the
 // timeout ends, the outcome is Refused if the call can't have reached the target, else Unknown.
 func (l *Link) Exchange(call *Call, gone <-chan struct{}, timeout time.Duration) *Answer {
-	p := &pendingCall{answers: make(chan *Answer, replyBuffer), idempotent: call.Idempotent}
+	p := &pendingCall{answers: make(chan *Answer, replyBuffer), idempotent: call.Idempotent, size: len(call.Body)}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +82,7 @@
 	lastNumber    uint64                  // number of the last call or void request sent
 	calls         map[uint64]*pendingCall // calls sent, by number
 	voids         map[uint64]chan bool    // void requests sent, by number
-	serving       map[uint64]func()       // cancel functions of the peer's calls, by number
+	serving       map[uint64]*servedCall  // calls of the peer without an answer, by number
 	confirmations map[uint64]chan bool    // confirmations requested, by number of the peer's call
 	closed        bool
 
@@ -105,7 +107,7 @@
 		done:          make(chan struct{}),
 		calls:         make(map[uint64]*pendingCall),
 		voids:         make(map[uint64]chan bool),
-		serving:       make(map[uint64]func()),
+		serving:       make(map[uint64]*servedCall),
 		confirmations: make(map[uint64]chan bool),
 	}
 }
@@ -338,8 +340,13 @@
 		return errIncomplete
 	}
 	number := frame.Number
+	served := &servedCall{size: len(frame.Call.Body)}
 	l.mu.Lock()
-	l.serving[number] = nil
+	if l.closed {
+		l.mu.Unlock()
+		return errClosed // no one waits for the answer
+	}
+	l.serving[number] = served
 	l.mu.Unlock()
 	if !frame.Call.Idempotent {
 		frame.Call.Confirm = func() bool { return l.requestConfirmation(number) }
@@ -350,15 +357,19 @@
 			l.answerInPieces(frame.Call, number, answer, deadline)
 			return
 		}
-		if l.endServing(number) {
+		if l.endServing(number) != nil {
 			l.sendOrClose(kindAnswer, &answerFrame{Number: number, Answer: answer})
 		}
 	})
 	l.mu.Lock()
-	if current, open := l.serving[number]; open && current == nil {
-		l.serving[number] = cancel
+	if served.cancel == nil {
+		served.cancel = cancel
 	}
+	closed := l.closed
 	l.mu.Unlock()
+	if closed && cancel != nil {
+		cancel() // Close may have run before it was set
+	}
 	return nil
 }
 
@@ -383,18 +394,14 @@
 	return nil
 }
 
-// cancelCall cancels a call of the peer at its request.
+// cancelCall cancels a call of the peer at its request. The peer does not wait for the answer any more, so
+// none is sent, and nothing of the call is kept here.
 func (l *Link) cancelCall(body []byte) error {
 	var frame numberFrame
 	if err := decMode.Unmarshal(body, &frame); err != nil {
 		return err
 	}
-	l.mu.Lock()
-	cancel := l.serving[frame.Number]
-	l.mu.Unlock()
-	if cancel != nil {
-		cancel()
-	}
+	l.cancelServed(frame.Number)
 	return nil
 }
 
@@ -444,16 +451,11 @@
 		return
 	}
 	l.closed = true
-	var open []func()
-	for _, cancel := range l.serving {
-		if cancel != nil {
-			open = append(open, cancel)
-		}
-	}
+	open := slices.Collect(maps.Keys(l.serving))
 	l.mu.Unlock()
 	close(l.done)
 	_ = l.conn.Close() // no frames are left to send
-	for _, cancel := range open {
-		cancel()
+	for _, number := range open {
+		l.cancelServed(number)
 	}
 }
--- a/internal/proxy/carrier/piece.go
+++ b/internal/proxy/carrier/piece.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,12 +19,12 @@
 func (l *Link) answerInPieces(call *Call, number uint64, answer *Answer, deadline time.Time) {
 	canceled := make(chan struct{})
 	l.mu.Lock()
-	_, open := l.serving[number]
-	if open {
-		l.serving[number] = sync.OnceFunc(func() { close(canceled) })
+	served := l.serving[number]
+	if served != nil {
+		served.cancel = func() { close(canceled) }
 	}
 	l.mu.Unlock()
-	if !open {
+	if served == nil {
 		return
 	}
 	size := len(answer.Body)
@@ -38,7 +37,7 @@
 		_, err := l.write(kindPiece, &pieceFrame{Number: number, Size: size, Data: piece})
 		return err
 	})
-	if !l.endServing(number) || errors.Is(err, errNotWanted) {
+	if l.endServing(number) == nil || errors.Is(err, errNotWanted) {
 		return
 	}
 	if err != nil {
@@ -50,13 +49,54 @@
 	l.sendOrClose(kindAnswer, &answerFrame{Number: number, Answer: &rest, Size: size})
 }
 
-// endServing ends the record of a call of the peer. It reports whether the peer may still get an
-// answer to it.
-func (l *Link) endServing(number uint64) bool {
+// servedCall is a call of the peer without an answer. Its entry in Link.serving exists from its arrival until
+// the answer has been sent or the call is canceled, whichever is first.
+type servedCall struct {
+	cancel func() // cancels the call, or the sending of its answer; called at most once; nil for no effect
+	size   int    // of the body of the request in bytes
+}
+
+// endServing removes a call of the peer and returns it, or nil if it has been removed before: then the
+// peer waits for no answer.
+func (l *Link) endServing(number uint64) *servedCall {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	served := l.serving[number]
 	delete(l.serving, number)
-	return !l.closed
+	return served
+}
+
+// cancelServed cancels a call of the peer, unless it has an answer or was canceled before.
+func (l *Link) cancelServed(number uint64) {
+	if served := l.endServing(number); served != nil && served.cancel != nil {
+		served.cancel()
+	}
+}
+
+// Held returns the numbers of calls of this node and of the peer without an answer, and the bytes of
+// their requests' bodies.
+func (l *Link) Held() (sent, served Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.calls {
+		sent.Add(p.size)
+	}
+	for _, s := range l.serving {
+		served.Add(s.size)
+	}
+	return sent, served
+}
+
+// Holding is a number of calls that a process holds, with the bytes of their requests' bodies.
+type Holding struct {
+	Calls int `json:"calls"`
+	Bytes int `json:"bytes"`
+}
+
+// Add counts one more call with a body of the given size in bytes.
+func (h *Holding) Add(size int) {
+	h.Calls++
+	h.Bytes += size
 }
 
 // receivePiece stores a piece of the body of an answer.
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -306,6 +306,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.queue.Remove(&v.Job) {
+		v.timer.Stop() // it refers to the call
 		v.endReservation()
 		return
 	}
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	tickInterval   = 250 * time.Millisecond // interval between two removals of stale peers
+	tickInterval   = 250 * time.Millisecond // interval between two removals of stale peers and updates of gauges
 	eventQueueSize = 256
 
 	// peerTimeout is the time after which a peer is no longer dialed if there is no link to it and
@@ -213,6 +213,7 @@
 			event()
 		case now := <-ticker.C:
 			n.removeStalePeers(now)
+			n.recordHoldings()
 		}
 	}
 }
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -25,6 +25,7 @@
 // host is one host of a test deployment: a node and the target beside it.
 type host struct {
 	settings       platform.Settings
+	node           *Node
 	service        string
 	arrived        atomic.Int64  // number of requests that the target has received
 	workMillis     atomic.Int64  // processing time of a request in milliseconds
@@ -126,6 +127,7 @@
 	t.Helper()
 	meter, stopMeter := counter.New()
 	node := &Node{Settings: h.settings, Log: zap.NewNop(), Meter: meter, Dropped: func() int64 { return 0 }}
+	h.node = node
 	stop, done := h.stop, h.done
 	go func() {
 		defer close(done)
--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -188,6 +188,7 @@
 	InUse      int                 `json:"use"`
 	Waiting    int                 `json:"waiting"`
 	MeanMillis float64             `json:"mean"`
+	Held       holdings            `json:"held"`
 	Links      []dumpLink          `json:"links"`
 	Counts     map[string]int64    `json:"counts"`
 	Dropped    int64               `json:"dropped"`
@@ -227,6 +228,7 @@
 		Slots:      state.Slots,
 		InUse:      state.InUse,
 		Waiting:    state.Waiting,
+		Held:       n.holdings(),
 		MeanMillis: float64(state.Mean) / float64(time.Millisecond),
 		Counts:     n.Meter.Totals(),
 		Dropped:    n.Dropped(),
