Accept links again after an error of accept

It now pauses and goes on, as the loop for clients does, until the listener is closed. TestAcceptFails failed before the change (the handshake timed out).

--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -346,3 +347,38 @@
 		})
 	}
 }
+
+// failingListener fails to accept a number of times, as it does without free file descriptors.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int64
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptFails guards against a node that accepts no more links after it was out of file descriptors.
+func TestAcceptFails(t *testing.T) {
+	s := &testServer{serve: echo, canceled: make(chan string, 8)}
+	h := startHub(t, "far", s)
+	listener, err := net.Listen("tcp4", ownLoopback()+":0")
+	assert.NilError(t, err)
+	failing := &failingListener{Listener: listener}
+	failing.failures.Store(3)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.acceptLoop(failing)
+	}()
+	near := startHub(t, "near", &testServer{serve: echo, canceled: make(chan string, 8)})
+	link, cleanUp, err := near.DialTemporary(listener.Addr().String())
+	assert.NilError(t, err)
+	defer cleanUp()
+	assert.Equal(t, link.Exchange(&Call{ID: []byte("a")}, nil, time.Second).Outcome, Answered)
+	assert.NilError(t, listener.Close())
+	<-ended
+}
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -20,6 +21,8 @@
 	unackedTimeout = 1500 * time.Millisecond // time after which unacknowledged data breaks a connection
 	domainFanout   = 2                       // maximum number of nodes that AnnounceInDomain reaches
 
+	acceptRetryDelay = 10 * time.Millisecond
+
 	// fetchTimeout is the time allowed for a peer to send its configuration on request. Until it has
 	// passed, the same version or an older one is not requested again.
 	fetchTimeout = 250 * time.Millisecond
@@ -81,12 +84,18 @@
 	}
 }
 
+// acceptLoop accepts links until the listener is closed.
 func (h *Hub) acceptLoop(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			h.Log.Error("link: accept failed", recorder.Err(err))
+			time.Sleep(acceptRetryDelay) // probably out of file descriptors until other connections end
+			continue
+		}
 		go h.accept(conn)
 	}
 }
