Fail a call at once if a bare line feed ends the head of its response

The call now fails at once; within a head and in a body, bare line feeds are accepted as before. An interim response in front hides the head from this check.

--- a/internal/proxy/deliverer/conn.go
+++ b/internal/proxy/deliverer/conn.go
@@ -56,6 +56,8 @@
 var (
 	errStray  = merry.Sentinel("no response with the ID of the request")
 	errClosed = merry.Sentinel("connection closed by target")
+
+	errBareLineFeed = merry.Sentinel("head of the response ends with a bare line feed")
 )
 
 // conn is one connection to the target. It carries one request at a time.
@@ -170,13 +172,12 @@
 // ID it reads on until unidentifiedWait has passed, since that may have been the target's response.
 func (c *conn) read(call *carrier.Call, response *fasthttp.Response, maxBody int, unidentifiedWait time.Duration) error {
 	for range maxResponsesRead {
+		if err := c.awaitHead(); err != nil {
+			return err
+		}
 		response.SkipBody = string(call.Method) == fasthttp.MethodHead
 		response.Header.SetNoDefaultContentType(true)
-		err := response.ReadLimitBody(c.reader, maxBody)
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			return errClosed
-		}
-		if err != nil {
+		if err := response.ReadLimitBody(c.reader, maxBody); err != nil {
 			return err
 		}
 		id := response.Header.Peek(platform.HeaderRequestID)
@@ -194,6 +195,37 @@
 	return errStray
 }
 
+// awaitHead waits for the head of a response. It returns an error if a bare line feed ends the head:
+// fasthttp would wait for another end until the deadline. A head that exceeds the buffer is left to
+// fasthttp.
+func (c *conn) awaitHead() error {
+	for read := 0; ; {
+		_, err := c.reader.Peek(read + 1)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil
+		case errors.Is(err, io.EOF) && read > 0:
+			return io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return errClosed
+		case err != nil:
+			return err
+		}
+		head, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return err
+		}
+		end, bare := bytes.Index(head, []byte("\n\r\n")), bytes.Index(head, []byte("\n\n"))
+		if bare >= 0 && (end < 0 || bare < end) {
+			return errBareLineFeed
+		}
+		if end >= 0 {
+			return nil
+		}
+		read = len(head)
+	}
+}
+
 // reusable reports whether the connection can carry another request after a response, and sets the
 // time for which it may be idle.
 func (c *conn) reusable(response *fasthttp.Response, bodyWritten <-chan error) bool {
--- a/internal/proxy/deliverer/truncated_test.go
+++ b/internal/proxy/deliverer/truncated_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -53,3 +54,30 @@
 	})
 	assert.Equal(t, serveAndWait(newDeliverer(s, 1), newCall("r", true)).Outcome, carrier.Failed)
 }
+
+// TestBareLineFeeds guards against calls that wait for their time limit: the target ends lines with bare line
+// feeds. They are accepted within a head, and end the call at once where they end the head or a chunk.
+func TestBareLineFeeds(t *testing.T) {
+	const id = "Clementinerock-Request-Id: r"
+	tests := map[string]struct {
+		answer  string
+		outcome carrier.Outcome
+	}{
+		"all lines":    {"HTTP/1.1 200 OK\n" + id + "\nContent-Length: 2\n\nhi", carrier.Failed},
+		"empty line":   {"HTTP/1.1 200 OK\r\n" + id + "\r\nContent-Length: 2\r\n\nhi", carrier.Failed},
+		"first line":   {"HTTP/1.1 200 OK\n" + id + "\r\nContent-Length: 2\r\n\r\nhi", carrier.Answered},
+		"header":       {"HTTP/1.1 200 OK\r\n" + id + "\nContent-Length: 2\r\n\r\nhi", carrier.Answered},
+		"chunk":        {"HTTP/1.1 200 OK\r\n" + id + "\r\nTransfer-Encoding: chunked\r\n\r\n2\nhi\n0\n\n", carrier.Failed},
+		"in the body":  {"HTTP/1.1 200 OK\r\n" + id + "\r\nContent-Length: 2\r\n\r\n\n\n", carrier.Answered},
+		"leading line": {"\r\nHTTP/1.1 200 OK\r\n" + id + "\r\nContent-Length: 2\r\n\r\nhi", carrier.Answered},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := newDeliverer(startTarget(t, respondWith(test.answer, true)), 1)
+			began := time.Now()
+			answer := serveAndWait(d, newCall("r", true))
+			assert.Equal(t, answer.Outcome, test.outcome, answer.Reason)
+			assert.Assert(t, time.Since(began) < 400*time.Millisecond, "the call waited for its time limit")
+		})
+	}
+}
