--- a/internal/proxy/runner/servers.go
+++ b/internal/proxy/runner/servers.go
@@ -93,9 +93,10 @@
 	})
 }
 
-// applyReport applies a report, because the target relies on the acknowledgement. It also waits until
-// a departure is stored, so that it stays in effect if this process ends, and reports whether it is.
-// A heartbeat waits for the departures that earlier processes stored.
+// applyReport applies a report and returns when it may be acknowledged, because the target relies on that.
+// For a departure it waits until it is stored, so that it stays in effect if this process ends; stored
+// is false if that has not happened within reportTimeout. A heartbeat first waits for the departures
+// that earlier processes stored.
 func (n *Node) applyReport(report tracker.Report) (verdict tracker.Verdict, stored bool) {
 	timer := time.NewTimer(reportTimeout)
 	defer timer.Stop()
--- a/internal/proxy/tracker/tracker.go
+++ b/internal/proxy/tracker/tracker.go
@@ -55,7 +55,7 @@
 	Accepted    Verdict = iota
 	Stale               // superseded by the stored report
 	Foreign             // not from this host's target
-	Unconfirmed         // may have been sent before a departure that an earlier process acknowledged
+	Unconfirmed         // may have been sent before a departure, or by a run that has ended
 )
 
 // String returns the name of the verdict.
@@ -75,9 +75,10 @@
 // earlier run, or from before a departure, must not make the target available again, also if the node
 // has restarted since.
 //
-// The time of day orders no reports where that could break a promise, since it may have jumped between
-// two starts of the target. There, a report counts only if it must have been sent after the departure,
-// or because the target itself rejects calls for another instance.
+// The start times of two runs do not decide whether a departure still holds, since the time of day may have
+// been set between two starts of the target. A heartbeat of another run with the same ID counts only
+// if it must have been sent after the departure. With another ID, the target rejects calls if the wrong run
+// is current.
 type Tracker struct {
 	Service string
 	Address string
@@ -152,8 +153,8 @@
 	return Unconfirmed
 }
 
-// observeDeparture applies a drain or a leave message. It takes effect if calls may reach the departing
-// run: the target rejects those that are for an instance with another ID.
+// observeDeparture applies a drain or a leave message. It changes the current report only if calls may
+// reach the departing run: the target rejects those that are for an instance with another ID.
 func (t *Tracker) observeDeparture(report Report, now time.Time) Verdict {
 	if d := t.departure(report.Run); d != nil && d.Over {
 		return Stale
