--- a/internal/proxy/tracker/random_test.go
+++ b/internal/proxy/tracker/random_test.go
@@ -12,14 +12,14 @@
 // world simulates a target that starts again and again at one address, reports that are late or lost, a clock
 // that is set, and a node that is restarted while the store may be unavailable.
 type world struct {
-	now     time.Time
-	clock   time.Duration // by which the time of day is ahead
-	live    *simulatedRun // nil while no process of the target runs
-	borns   []int64       // start times of all runs; no two are equal
-	inbox   []arrival
-	node    *Tracker
-	stored  []Departure
-	loadAt  time.Time // time at which the node can read the store
+	now    time.Time
+	clock  time.Duration // by which the time of day is ahead
+	live   *simulatedRun // nil while no process of the target runs
+	borns  []int64       // start times of all runs; no two are equal
+	inbox  []arrival
+	node   *Tracker
+	stored []Departure
+	loadAt time.Time // time at which the node can read the store
 }
 
 // simulatedRun is a process of the target.
