Review: a stopping process closes connections of queued requests without an answer

A script stops one of 6 hosts with SIGTERM while low-priority requests wait in the queues of other nodes.

--- a/review/_kit2/http.go
+++ b/review/_kit2/http.go
@@ -40,6 +40,7 @@
 	Header http.Header
 	Body   []byte
 	Whole  bool // whether the body is complete
+	Close  bool // whether the connection closes
 }
 
 // Client is a connection of a client.
@@ -66,7 +67,7 @@
 	}
 	body, err := io.ReadAll(raw.Body)
 	_ = raw.Body.Close()
-	return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body, Whole: err == nil}, nil
+	return &Response{Status: raw.StatusCode, Header: raw.Header, Body: body, Whole: err == nil, Close: raw.Close}, nil
 }
 
 // Send sends text on a new connection and reads one response.
--- a/review/_kit2/settings.go
+++ b/review/_kit2/settings.go
@@ -269,3 +269,10 @@
 	response, err := Send(address, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", time.Second)
 	return err == nil && response.Status == 200
 }
+
+// Pid returns the number of the host's process.
+func (h *Host) Pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.command.Process.Pid
+}
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # project's own stand-in of the store.
 set -e
 cd "$(dirname "$0")/.."
-for program in restore; do
+for program in term restore; do
 	go build -o "target/review-2/$program" "./review/_kit2/$program"
 done
