--- a/review/_kit2/http.go
+++ b/review/_kit2/http.go
@@ -58,7 +58,7 @@
 	return &Client{Conn: conn, Reader: bufio.NewReader(conn)}, nil
 }
 
-// Read reads one response to a request with a method.
+// ReadResponse reads one response to a request with a method.
 func (c *Client) ReadResponse(method string, limit time.Duration) (*Response, error) {
 	_ = c.SetReadDeadline(time.Now().Add(limit))
 	raw, err := http.ReadResponse(c.Reader, &http.Request{Method: method})
--- a/review/_kit2/restore/main.go
+++ b/review/_kit2/restore/main.go
@@ -148,7 +148,7 @@
 	group.Wait()
 	ran := make(map[string]time.Time) // first run of each request
 	for _, t := range targets {
-		for _, r := range t.Runs {
+		for _, r := range t.Runs() {
 			if at, ok := ran[r.ID]; !ok || r.At.Before(at) {
 				ran[r.ID] = r.At
 			}
--- a/review/_kit2/settings.go
+++ b/review/_kit2/settings.go
@@ -47,10 +47,7 @@
 type Host struct {
 	Name, IP, Zone, Service string
 
-	Bounds   []string // beside those of a small deployment; later ones replace earlier ones
-	Memory   int      // MB
-	Seeds    []string
-	StoreVia string // address of the store that this host uses
+	Bounds []string // beside those of a small deployment
 
 	mesh    *Mesh
 	mu      sync.Mutex
@@ -73,29 +70,22 @@
 	"rollbackSlackS=0.25", "skewMaxS=5", "retryBudgetRatio=0.2", "budgetWindowS=10", "retryBudgetSlack=62", "recoverS=15",
 }
 
-// Addresses of a host.
+// Outbound returns the address for clients.
 func (h *Host) Outbound() string { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.Outbound) }
-func (h *Host) Ready() string    { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.Ready) }
-func (h *Host) Control() string  { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.Control) }
-func (h *Host) App() string      { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.App) }
+
+// Ready returns the address for readiness probes.
+func (h *Host) Ready() string { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.Ready) }
+
+// Control returns the address for the reports of the target.
+func (h *Host) Control() string { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.Control) }
+
+// App returns the address of the target.
+func (h *Host) App() string { return fmt.Sprintf("%s:%d", h.IP, h.mesh.Ports.App) }
 
 // Settings returns the settings file of a host.
 func (h *Host) Settings() string {
 	p := h.mesh.Ports
-	memory := h.Memory
-	if memory == 0 {
-		memory = 284
-	}
-	quoted := func(list []string) string {
-		if len(list) == 0 {
-			return "[]"
-		}
-		return `["` + strings.Join(list, `","`) + `"]`
-	}
-	store := h.mesh.Store
-	if h.StoreVia != "" {
-		store = h.StoreVia
-	}
+	list := append(append([]string{}, bounds...), h.Bounds...)
 	return fmt.Sprintf(`nodeName = %q
 role = "node"
 machineClass = "sidecar"
@@ -104,14 +94,14 @@
 zone = %q
 region = "viti-levu"
 internalPorts = [%d,%d]
-seeds = %s
+seeds = []
 bootstrap = true
 countsAsLoss = false
 discovery = "static"
 entry = "static"
 heartbeatS = 1.5
 contracts = ["base","drain","config","cost","retry","recover","platform"]
-bounds = %s
+bounds = ["%s"]
 appAddr = %q
 service = %q
 [zones]
@@ -126,7 +116,7 @@
 [limits]
 cpuShare = 0.32
 cores = 1
-memoryMb = %d
+memoryMb = 284
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -142,8 +132,8 @@
 historyS = 20
 valueBytes = 1048576
 ttlMinS = 1
-`, h.Name, h.IP, h.Zone, p.Internal, p.Internal+15, quoted(h.Seeds), quoted(append(append([]string{}, bounds...), h.Bounds...)),
-		h.App(), h.Service, h.IP, p.Inbound, h.Outbound(), h.Ready(), h.Control(), memory, store)
+`, h.Name, h.IP, h.Zone, p.Internal, p.Internal+15, strings.Join(list, `","`),
+		h.App(), h.Service, h.IP, p.Inbound, h.Outbound(), h.Ready(), h.Control(), h.mesh.Store)
 }
 
 // Program is the command of the deploy file, from the root of the repository.
@@ -246,9 +236,7 @@
 			h.Kill()
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(m.Dir)
-	}
+	_ = os.RemoveAll(m.Dir)
 }
 
 // WaitReady waits until all hosts are ready.
@@ -269,10 +257,3 @@
 	response, err := Send(address, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", time.Second)
 	return err == nil && response.Status == 200
 }
-
-// Pid returns the number of the host's process.
-func (h *Host) Pid() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.command.Process.Pid
-}
--- a/review/_kit2/start.go
+++ b/review/_kit2/start.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"time"
 
 	"clementinerock/platform/standin"
 )
@@ -53,7 +52,7 @@
 	return store, stop, nil
 }
 
-// StartTargets starts one target beside each host, with reports.
+// StartTargets starts one target beside each host. Reports are sent after StartReports.
 func (m *Mesh) StartTargets() ([]*Target, error) {
 	var targets []*Target
 	for i, h := range m.Hosts {
@@ -65,25 +64,3 @@
 	}
 	return targets, nil
 }
-
-// Settle waits until requests to all given paths are served by all hosts.
-func (m *Mesh) Settle(limit time.Duration, paths ...string) bool {
-	end := time.Now().Add(limit)
-	n := 0
-	for _, h := range m.Hosts {
-		for _, path := range paths {
-			for {
-				n++
-				r, err := Send(h.Outbound(), Text("GET", "a.example", path, fmt.Sprintf("settle%d", n), time.Second, "", ""), 2*time.Second)
-				if err == nil && r.Status == 200 {
-					break
-				}
-				if time.Now().After(end) {
-					return false
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
-		}
-	}
-	return true
-}
--- a/review/_kit2/target.go
+++ b/review/_kit2/target.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,18 +31,10 @@
 	Born  int64
 	Work  func(r *Run) time.Duration // nil for 5 ms
 
-	// Reply writes the response to a request that has run; nil for a response with a receipt. It returns false to
-	// close the connection.
-	Reply func(r *Run, conn net.Conn) bool
-
 	mu       sync.Mutex
-	listener net.Listener
-	conns    map[net.Conn]struct{}
 	sequence int
 	slots    chan struct{}
-	stopBeat chan struct{}
-	Runs     []*Run
-	OnRun    func(r *Run)
+	runs     []*Run
 }
 
 // Listen starts the target without reports.
@@ -57,58 +50,28 @@
 		t.Born = time.Now().UnixMilli()
 	}
 	t.slots = make(chan struct{}, t.Slots)
-	t.conns = make(map[net.Conn]struct{})
-	t.listener = listener
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			t.mu.Lock()
-			t.conns[conn] = struct{}{}
-			t.mu.Unlock()
 			go t.serve(conn)
 		}
 	}()
 	return nil
 }
 
-// Crash closes the target with all connections and stops its reports.
-func (t *Target) Crash() {
-	t.StopReports()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_ = t.listener.Close()
-	for conn := range t.conns {
-		_ = conn.Close()
-	}
-}
-
-// StartReports sends a heartbeat every 1.5 s.
+// StartReports sends a heartbeat every 1.5 s until the case ends.
 func (t *Target) StartReports() {
-	stop := make(chan struct{})
-	t.stopBeat = stop
 	go func() {
 		for {
 			t.Beat("ready")
-			select {
-			case <-stop:
-				return
-			case <-time.After(1500 * time.Millisecond):
-			}
+			time.Sleep(1500 * time.Millisecond)
 		}
 	}()
 }
 
-// StopReports ends the heartbeats.
-func (t *Target) StopReports() {
-	if t.stopBeat != nil {
-		close(t.stopBeat)
-		t.stopBeat = nil
-	}
-}
-
 // Heartbeat returns the next heartbeat with a state as it is sent.
 func (t *Target) Heartbeat(state string) string {
 	t.mu.Lock()
@@ -124,13 +87,6 @@
 // Beat sends a heartbeat and reports whether it was acknowledged within a second.
 func (t *Target) Beat(state string) bool { return t.report(t.Heartbeat(state), state) }
 
-// Leave sends a leave message and reports whether it was acknowledged within a second.
-func (t *Target) Leave() bool {
-	body := fmt.Sprintf(`{"born":%d}`, t.Born)
-	return t.report(fmt.Sprintf("POST /rpc?call=instances.leave&of=%s HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		t.ID, len(body), body), "leave")
-}
-
 func (t *Target) report(text, what string) bool {
 	response, err := Send(t.Host.Control(), text, time.Second)
 	acked := err == nil && response.Status/100 == 2
@@ -141,12 +97,7 @@
 }
 
 func (t *Target) serve(conn net.Conn) {
-	defer func() {
-		t.mu.Lock()
-		delete(t.conns, conn)
-		t.mu.Unlock()
-		_ = conn.Close()
-	}()
+	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -182,29 +133,27 @@
 		t.slots <- struct{}{}
 		t.Host.mesh.Record.Add("target %s (%s): runs %s %s id %s caller %s tenant %s, %d bytes, %s ms left", t.ID, t.Host.Service, r.Method, r.Path, r.ID, r.Caller, r.Tenant, len(r.Body), r.Deadline)
 		t.mu.Lock()
-		t.Runs = append(t.Runs, r)
+		t.runs = append(t.runs, r)
 		t.mu.Unlock()
-		if t.OnRun != nil {
-			t.OnRun(r)
-		}
 		work := 5 * time.Millisecond
 		if t.Work != nil {
 			work = t.Work(r)
 		}
 		time.Sleep(work)
 		<-t.slots
-		if t.Reply != nil {
-			if !t.Reply(r, conn) {
-				return
-			}
-			continue
-		}
 		if _, err := conn.Write(r.Response(200, []byte("done "+r.ID))); err != nil {
 			return
 		}
 	}
 }
 
+// Runs returns all requests that the target has begun to work on.
+func (t *Target) Runs() []*Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.runs)
+}
+
 // Response returns a response with a receipt.
 func (r *Run) Response(status int, body []byte) []byte {
 	var out bytes.Buffer
@@ -213,15 +162,3 @@
 	out.Write(body)
 	return out.Bytes()
 }
-
-// RunsOf returns the runs of a request.
-func (t *Target) RunsOf(id string) (runs []*Run) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, r := range t.Runs {
-		if r.ID == id {
-			runs = append(runs, r)
-		}
-	}
-	return runs
-}
--- a/review/_kit2/term/main.go
+++ b/review/_kit2/term/main.go
@@ -234,7 +234,7 @@
 	group.Wait()
 	ran := make(map[string]bool)
 	for _, t := range targets {
-		for _, r := range t.Runs {
+		for _, r := range t.Runs() {
 			ran[r.ID] = true
 		}
 	}
