Answer each request before a stopping process ends

Requests taken late in a grace time that is short for their work were passed on and cut while they ran.

Cause: shutDown waited for open requests until 0.9 s before SIGKILL and then closed all connections. No part of the path of a request knew that end, so calls waited in queues beyond it and were started too late to end.

Fix: each call knows the end of its sender's process. A call that has not started three mean service times before it is withdrawn: at once if it certainly has not run, else the node that holds it refuses it unless it has started. Requests whose target could not run them in time are refused at once, bodies are not read to their end once requests are refused, and what still runs at the end gets 502. So each request has an answer by what is certain of it, on each kind of route and wherever it waits.

--- a/internal/proxy/acceptor/acceptor.go
+++ b/internal/proxy/acceptor/acceptor.go
@@ -119,8 +119,16 @@
 // clients reconnect elsewhere.
 func (a *Acceptor) Stop() { a.stopping.Store(true) }
 
-// Refuse refuses all further requests, since they might not end before the process does.
-func (a *Acceptor) Refuse() { a.refusing.Store(true) }
+// Refuse refuses all further requests, since they might not end before the process does, and those that are being
+// read.
+func (a *Acceptor) Refuse() {
+	a.refusing.Store(true)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.refuseUnread()
+	}
+}
 
 // OpenRequests returns the number of requests being served.
 func (a *Acceptor) OpenRequests() int { return int(a.openRequests.Load()) }
@@ -207,7 +215,12 @@
 		return end(false)
 	}
 	in := &received{Request: fasthttp.AcquireRequest()}
-	if err := a.read(c, t, in, arrived, &limits); err != nil {
+	err := a.read(c, t, in, arrived, &limits)
+	c.endRead()
+	if err != nil && a.refusing.Load() && !disconnected(err) {
+		err = merry.Wrap(errStopping, merry.WithCause(err)) // its reading was interrupted
+	}
+	if err != nil {
 		if disconnected(err) {
 			c.abandon()
 		}
--- a/internal/proxy/acceptor/acceptor_test.go
+++ b/internal/proxy/acceptor/acceptor_test.go
@@ -416,3 +416,42 @@
 	a.mu.Unlock()
 	assert.Assert(t, waiting < 5, "%d connections were accepted and not counted", waiting)
 }
+
+// TestRefuseUnread guards against requests that are read, or wait for memory, until the process ends and are then cut
+// without an answer: they are refused at once.
+func TestRefuseUnread(t *testing.T) {
+	tests := map[string]string{
+		"part of a small body":       requestText("a", strings.Repeat("x", 1000), "")[:600],
+		"part of a large body":       requestText("a", strings.Repeat("x", 100_000), "")[:50_000],
+		"part of a chunked body":     strings.Replace(requestText("a", "", ""), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "5\r\nchu",
+		"body that waits for memory": requestText("a", strings.Repeat("x", 900_000), ""),
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeForwarder{hold: make(chan struct{})}
+			t.Cleanup(sync.OnceFunc(func() { close(f.hold) }))
+			memory := reserver.New(16<<20, discardMeter{})
+			a, address := startAcceptor(t, f, func(a *Acceptor) { a.Memory = memory })
+			var held [][]byte // all memory for large bodies
+			for {
+				data := memory.TryAllocate(reserver.Owner{Class: reserver.Large}, 900_000)
+				if data == nil {
+					break
+				}
+				held = append(held, data)
+			}
+			defer runtime.KeepAlive(held)
+			c := dialClient(t, address)
+			go func() { _, _ = io.WriteString(c, text) }()
+			waitUntil(t, "request", func() bool { return a.Stages().Reading == 1 })
+			time.Sleep(50 * time.Millisecond) // its head is read
+			a.Stop()
+			a.Refuse()
+			began := time.Now()
+			status, _, _ := c.receive()
+			assert.Equal(t, status, http.StatusServiceUnavailable)
+			assert.Assert(t, time.Since(began) < reserver.MaxWait/2)
+			waitUntil(t, "end", func() bool { return a.OpenRequests() == 0 })
+		})
+	}
+}
--- a/internal/proxy/acceptor/body.go
+++ b/internal/proxy/acceptor/body.go
@@ -42,14 +42,11 @@
 	}
 	c.body.resume(time.Now())
 	for {
-		if c.isClosing() {
-			return 0, net.ErrClosed // an earlier response has closed the connection
-		}
 		end := c.body.last.Add(c.body.idleTimeout)
 		if c.body.window.Before(end) {
 			end = c.body.window
 		}
-		if err := c.SetReadDeadline(end); err != nil {
+		if err := c.limitRead(end); err != nil {
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
--- a/internal/proxy/acceptor/conn.go
+++ b/internal/proxy/acceptor/conn.go
@@ -28,7 +28,12 @@
 	body      *bodyProgress // nil unless a body is being read
 	gone      chan struct{} // closed when the client has disconnected or no further response can be sent
 	discarded bool          // discardUnread was called
-	places    chan struct{} // holds an element for each request that is served and for the one to be read
+
+	// unreadable is closed when a request that is being read is not read to its end: gone is closed, or the node
+	// refuses all requests.
+	unreadable chan struct{}
+
+	places chan struct{} // holds an element for each request that is served and for the one to be read
 
 	mu        sync.Mutex
 	number    uint64          // of the last request read, from 1
@@ -37,8 +42,10 @@
 	last      <-chan struct{} // closed when the last request read was responded to; nil before the first
 	served    bool            // whether a response was sent
 	waiting   bool            // whether the reading goroutine waits for the next request
+	reading   bool            // whether it reads a request whose first byte has arrived
 	closing   bool            // no further request is read
 	ended     bool            // gone is closed
+	refusing  bool            // refuseUnread was called
 	idleWait  time.Duration   // time for which the connection may be idle after a response
 	idleSince time.Time       // end of the last request, or start of the connection
 }
@@ -57,6 +64,8 @@
 		gone:      make(chan struct{}),
 		places:    make(chan struct{}, maxPipelined),
 		idleSince: time.Now(),
+
+		unreadable: make(chan struct{}),
 	}
 	c.address, _, _ = net.SplitHostPort(raw.RemoteAddr().String())
 	c.reader = bufio.NewReaderSize(c, initialBuffer)
@@ -114,11 +123,19 @@
 	c.number++
 	c.open++
 	c.exclusive = false
+	c.reading = true
 	t := turn{number: c.number, before: c.last, done: make(chan struct{})}
 	c.last = t.done
 	return t, true
 }
 
+// endRead records that a request was read, or can't be.
+func (c *clientConn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
 // setExclusive makes the request that was read last the only one that is served, because it must not be
 // run if an earlier response closes the connection: its client would send it again. It returns false if
 // that has happened.
@@ -259,9 +276,45 @@
 	if !c.ended {
 		c.ended = true
 		close(c.gone)
+		c.endReading()
 	}
 }
 
+// endReading ends the wait for the memory of a request that is being read. c.mu must be held.
+func (c *clientConn) endReading() {
+	select {
+	case <-c.unreadable:
+	default:
+		close(c.unreadable)
+	}
+}
+
+// refuseUnread interrupts the reading of a request. Its response and those of earlier requests can still be sent.
+func (c *clientConn) refuseUnread() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing = true
+	if !c.reading {
+		return
+	}
+	c.endReading()
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // a failure shows in the read
+}
+
+// limitRead sets the time until which the body of a request is read. It returns an error if it is not to be read any
+// more.
+func (c *clientConn) limitRead(end time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closing:
+		return net.ErrClosed // an earlier response has closed the connection
+	case c.refusing:
+		return errStopping
+	}
+	return c.SetReadDeadline(end)
+}
+
 // abandon cancels the requests that are being served because the client has disconnected.
 func (c *clientConn) abandon() {
 	c.mu.Lock()
@@ -289,12 +342,6 @@
 	return c.idleSince, c.open == 0 && !c.closing
 }
 
-func (c *clientConn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
 // awaitAll waits until all requests have ended.
 func (c *clientConn) awaitAll() {
 	c.mu.Lock()
--- a/internal/proxy/acceptor/read.go
+++ b/internal/proxy/acceptor/read.go
@@ -30,6 +30,7 @@
 var (
 	errHeaderSize = merry.Sentinel("header too large")
 	errTooSlow    = merry.Sentinel("body too slow while others wait for memory")
+	errStopping   = merry.Sentinel("node stopping")
 )
 
 // read reads a complete request.
@@ -47,24 +48,33 @@
 		return err
 	}
 	length := in.Header.ContentLength()
+	large := length > maxPooledBody || length == chunkedLength
+	if large && a.refusing.Load() {
+		return errStopping // the client need not send its body
+	}
 	if in.MayContinue() && !c.awaitTurn(t) { // before memory is reserved, which the client could not use yet
 		return net.ErrClosed
 	}
 	if length != chunkedLength && length <= 0 {
 		return in.sendContinue(c)
 	}
+	if large {
+		defer c.watchOthers(t)()
+	}
+	return a.readBody(c, in, arrived, limits)
+}
+
+// readBody reads the body of a request, which is not empty unless it is chunked.
+func (a *Acceptor) readBody(c *clientConn, in *received, arrived time.Time, limits *matcher.Limits) (err error) {
 	body := &bodyreader.Reader{
 		Source: c.reader,
 		Limit:  limits.BodyBytes,
 		Memory: a.Memory,
-		Owner:  reserver.Owner{Client: c.address, Gone: c.gone, Deadline: in.memoryDeadline(arrived)},
-	}
-	if length > maxPooledBody || length == chunkedLength {
-		defer c.watchOthers(t)()
+		Owner:  reserver.Owner{Client: c.address, Gone: c.unreadable, Deadline: in.memoryDeadline(arrived)},
 	}
 	c.beginBody(limits.IdleTimeout)
 	defer c.endBody()
-	switch {
+	switch length := in.Header.ContentLength(); {
 	case length == chunkedLength:
 		err = in.readChunked(c, body)
 	case length <= maxPooledBody:
@@ -157,6 +167,8 @@
 	status := fasthttp.StatusBadRequest
 	var timeout net.Error
 	switch {
+	case errors.Is(err, errStopping):
+		status = fasthttp.StatusServiceUnavailable
 	case errors.Is(err, errHeaderSize):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, bodyreader.ErrTooLarge), errors.Is(err, reserver.ErrTooLarge):
@@ -174,7 +186,11 @@
 	response := newResponse(status)
 	defer fasthttp.ReleaseResponse(response)
 	if status == fasthttp.StatusServiceUnavailable {
-		setRetryAfter(response, noMemoryRetryAfter)
+		retryAfter := noMemoryRetryAfter
+		if errors.Is(err, errStopping) {
+			retryAfter = notReadyRetryAfter
+		}
+		setRetryAfter(response, retryAfter)
 	}
 	response.SetConnectionClose()
 	if a.write(c, response, nil, urgency{}) {
--- a/internal/proxy/carrier/body.go
+++ b/internal/proxy/carrier/body.go
@@ -31,16 +31,16 @@
 // sendLarge sends a call with a large body: it offers the body, and once the peer has reserved memory for
 // it, sends it in pieces as the uplink grants them, then the rest of the call. Other frames go between the
 // pieces. It returns true with the result of the call if that has ended.
-func (l *Link) sendLarge(number uint64, p *pendingCall, call *Call, gone <-chan struct{}, timeout <-chan time.Time) (*Answer, bool) {
+func (l *Link) sendLarge(number uint64, p *pendingCall, call *Call, shutdown *ShutdownWatch, gone <-chan struct{}, timeout <-chan time.Time) (*Answer, bool) {
 	began := time.Now()
 	if l.send(kindBodyOffer, &offerFrame{Number: number, Size: p.size}) != nil {
 		return l.abandon(number, p), true
 	}
-	if answer, accepted := l.await(number, p, p.accepted, gone, timeout); !accepted {
+	if answer, accepted := l.await(number, p, p.accepted, shutdown, gone, timeout); !accepted {
 		return answer, true
 	}
 	deadline := began.Add(call.Remaining)
-	unwanted, stop := l.unwanted(gone, deadline)
+	unwanted, stop := l.unwanted(call.Shutdown.Watch(), gone, deadline)
 	defer stop()
 	err := l.sendBody(unwanted, call.Body, call.BodyRest, call.Priority, deadline, func(piece []byte) error {
 		select {
@@ -57,7 +57,7 @@
 	switch {
 	case errors.Is(err, errNotWanted):
 		answer := l.removeCall(number, p, "gave up while the body was sent")
-		l.sendOrClose(kindCancel, &numberFrame{Number: number})
+		go l.sendOrClose(kindCancel, &numberFrame{Number: number}) // the client must not wait for a slow link
 		select {
 		case <-gone:
 			p.neverRuns = true // only the body was sent
@@ -82,21 +82,30 @@
 	return nil, false
 }
 
-// unwanted returns a channel that is closed when gone is closed, the link ends or the deadline passes. The
-// returned function releases it.
-func (l *Link) unwanted(gone <-chan struct{}, deadline time.Time) (unwanted <-chan struct{}, stop func()) {
+// unwanted returns a channel that is closed when gone is closed, the link ends, the deadline passes or the shutdown
+// leaves no time to run the call. The returned function releases it.
+func (l *Link) unwanted(shutdown *ShutdownWatch, gone <-chan struct{}, deadline time.Time) (unwanted <-chan struct{}, stop func()) {
 	closed, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		timer := time.NewTimer(time.Until(deadline))
 		defer timer.Stop()
-		select {
-		case <-gone:
-		case <-l.done:
-		case <-timer.C:
-		case <-stopped:
-			return
+		defer close(closed)
+		for {
+			select {
+			case <-gone:
+				return
+			case <-l.done:
+				return
+			case <-timer.C:
+				return
+			case <-stopped:
+				return
+			case <-shutdown.Begun:
+				shutdown.Start(l.state.Load().Mean)
+			case <-shutdown.Withdraw:
+				return
+			}
 		}
-		close(closed)
 	}()
 	return closed, func() { close(stopped) }
 }
--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -25,16 +25,31 @@
 	mu       sync.Mutex
 	serve    func(call *Call, answer func(*Answer))
 	voided   map[string]bool
-	canceled chan string   // IDs of canceled calls
-	uplink   *pacer.Gate   // paces the answers; nil for no limit
-	received atomic.Uint64 // version of the last update received
-	issuing  atomic.Uint64 // shards whose issuer the node is, and the number of changes
+	canceled chan string     // IDs of canceled calls
+	withdraw func(id string) // called when a call is withdrawn; may be nil
+	uplink   *pacer.Gate     // paces the answers; nil for no limit
+	received atomic.Uint64   // version of the last update received
+	issuing  atomic.Uint64   // shards whose issuer the node is, and the number of changes
 	grants   chan *CreditGrant
 }
 
-func (s *testServer) Serve(call *Call, answer func(*Answer)) func() {
+func (s *testServer) Serve(call *Call, answer func(*Answer)) Delivery {
 	s.serve(call, answer)
-	return func() { s.canceled <- string(call.ID) }
+	return &testDelivery{server: s, id: string(call.ID)}
+}
+
+// testDelivery is a call that a testServer has accepted.
+type testDelivery struct {
+	server *testServer
+	id     string
+}
+
+func (d *testDelivery) Cancel() { d.server.canceled <- d.id }
+
+func (d *testDelivery) Withdraw() {
+	if d.server.withdraw != nil {
+		d.server.withdraw(d.id)
+	}
 }
 
 func (s *testServer) Void(id []byte, _ uint64) bool {
--- a/internal/proxy/carrier/exchange.go
+++ b/internal/proxy/carrier/exchange.go
@@ -6,6 +6,9 @@
 // confirm it.
 const confirmTimeout = 400 * time.Millisecond
 
+// stoppingReason is the reason of a call that ends because this process does.
+const stoppingReason = "this node is stopping"
+
 // pendingCall is a call that this node has sent and that has no answer yet.
 type pendingCall struct {
 	answers    chan *Answer
@@ -72,15 +75,16 @@
 	l.openCalls.Add(1)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	shutdown := call.Shutdown.Watch()
 	if p.unsent {
-		if answer, ended := l.sendLarge(number, p, call, gone, timer.C); ended {
+		if answer, ended := l.sendLarge(number, p, call, shutdown, gone, timer.C); ended {
 			call.NeverRuns = p.neverRuns
 			return answer
 		}
 	} else if err := l.send(kindCall, &callFrame{Number: number, Call: call}); err != nil {
 		return l.abandon(number, p)
 	}
-	answer, _ := l.await(number, p, nil, gone, timer.C)
+	answer, _ := l.await(number, p, nil, shutdown, gone, timer.C)
 	call.NeverRuns = p.neverRuns
 	return answer
 }
@@ -94,22 +98,57 @@
 
 // await waits for the end of a call and returns its result, nil if the client disconnects. It also returns if
 // the peer accepts the body of the call.
-func (l *Link) await(number uint64, p *pendingCall, accepted, gone <-chan struct{}, timeout <-chan time.Time) (answer *Answer, isAccepted bool) {
-	select {
-	case answer := <-p.answers:
-		return answer, false
-	case <-accepted:
-		return nil, true
-	case <-l.done:
-		return l.removeCall(number, p, "link broke"), false
-	case <-gone:
-		p.neverRuns = l.removeCall(number, p, "").Outcome == Refused
-		l.sendOrClose(kindCancel, &numberFrame{Number: number})
-		return nil, false
-	case <-timeout:
-		l.sendOrClose(kindCancel, &numberFrame{Number: number})
-		return l.removeCall(number, p, "peer unresponsive"), false
+func (l *Link) await(number uint64, p *pendingCall, accepted <-chan struct{}, shutdown *ShutdownWatch, gone <-chan struct{}, timeout <-chan time.Time) (answer *Answer, isAccepted bool) {
+	for {
+		select {
+		case answer := <-p.answers:
+			return answer, false
+		case <-accepted:
+			return nil, true
+		case <-l.done:
+			return l.removeCall(number, p, "link broke"), false
+		case <-gone:
+			p.neverRuns = l.removeCall(number, p, "").Outcome == Refused
+			l.sendOrClose(kindCancel, &numberFrame{Number: number})
+			return nil, false
+		case <-timeout:
+			l.sendOrClose(kindCancel, &numberFrame{Number: number})
+			return l.removeCall(number, p, "peer unresponsive"), false
+		case <-shutdown.Begun:
+			shutdown.Start(l.state.Load().Mean)
+		case <-shutdown.Withdraw:
+			shutdown.Withdraw = nil
+			if answer := l.withdraw(number, p); answer != nil {
+				return answer, false
+			}
+		case <-shutdown.Finished:
+			answer := l.removeCall(number, p, stoppingReason)
+			go l.sendOrClose(kindCancel, &numberFrame{Number: number}) // the client must not wait for a slow link
+			return answer, false
+		}
+	}
+}
+
+// withdraw ends a call that has certainly not run, and returns its result. Otherwise it asks the peer to refuse the
+// call unless it has started, and returns nil.
+func (l *Link) withdraw(number uint64, p *pendingCall) *Answer {
+	l.mu.Lock()
+	_, open := l.calls[number]
+	certain := open && p.lostAnswer("").Outcome == Refused
+	if certain {
+		delete(l.calls, number) // it is not confirmed after that
+	}
+	l.mu.Unlock()
+	if !open {
+		return nil // its answer has just arrived
+	}
+	if !certain {
+		go l.sendOrClose(kindWithdraw, &numberFrame{Number: number})
+		return nil
 	}
+	l.openCalls.Add(-1)
+	go l.sendOrClose(kindCancel, &numberFrame{Number: number})
+	return &Answer{Outcome: Refused, Reason: stoppingReason}
 }
 
 // removeCall stops waiting for a call and returns its result. The call is not confirmed after
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -43,9 +43,8 @@
 
 // Server handles the requests of the node at the other end of a link.
 type Server interface {
-	// Serve runs a call and calls answer once. The returned function, which may be nil, cancels
-	// the call. It need not stop a call that is not idempotent once the target runs it.
-	Serve(call *Call, answer func(*Answer)) func()
+	// Serve runs a call and calls answer once. The returned Delivery is nil if the call has ended.
+	Serve(call *Call, answer func(*Answer)) Delivery
 	// Void prevents an attempt from running and reports whether it never reached the target.
 	Void(id []byte, attempt uint64) bool
 	// State returns the state to announce to other nodes.
@@ -59,6 +58,15 @@
 	Receive(update *matcher.Update, refetch func())
 }
 
+// Delivery is a call that a Server has accepted.
+type Delivery interface {
+	// Cancel ends the call without an answer. It need not stop a call that is not idempotent once the target
+	// runs it.
+	Cancel()
+	// Withdraw refuses the call unless it has started.
+	Withdraw()
+}
+
 // Link is a connection to another node. It carries calls in both directions.
 type Link struct {
 	Peer Peer
@@ -297,8 +305,8 @@
 		return l.completeCall(body)
 	case kindPiece:
 		return l.receivePiece(body)
-	case kindCancel:
-		return l.cancelCall(body)
+	case kindCancel, kindWithdraw:
+		return l.endServed(frameKind, body)
 	case kindState, kindPong:
 		return l.receiveState(frameKind, body)
 	case kindPing:
@@ -399,7 +407,7 @@
 		frame.Call.Confirm = func() bool { return l.requestConfirmation(number) }
 	}
 	deadline := time.Now().Add(frame.Call.Remaining)
-	cancel := l.server.Serve(frame.Call, func(answer *Answer) {
+	delivery := l.server.Serve(frame.Call, func(answer *Answer) {
 		defer func() {
 			l.memory.Discard(len(frame.Call.Body))
 			l.memory.Discard(answer.BodySize())
@@ -412,14 +420,18 @@
 			l.sendOrClose(kindAnswer, &answerFrame{Number: number, Answer: answer})
 		}
 	})
+	if delivery == nil {
+		return nil
+	}
 	l.mu.Lock()
 	if served.cancel == nil {
-		served.cancel = cancel
+		served.cancel = delivery.Cancel
 	}
+	served.withdraw = delivery.Withdraw
 	closed := l.closed
 	l.mu.Unlock()
-	if closed && cancel != nil {
-		cancel() // Close may have run before it was set
+	if closed {
+		delivery.Cancel() // Close may have run before it was set
 	}
 	return nil
 }
@@ -452,18 +464,32 @@
 	return nil
 }
 
-// cancelCall cancels a call of the peer at its request. The peer does not wait for the answer any more, so
-// none is sent, and nothing of the call is kept here.
-func (l *Link) cancelCall(body []byte) error {
+// endServed cancels or withdraws a call of the peer at its request. After a cancel the peer does not wait for the
+// answer any more, so none is sent, and nothing of the call is kept here.
+func (l *Link) endServed(frameKind kind, body []byte) error {
 	var frame numberFrame
 	if err := decMode.Unmarshal(body, &frame); err != nil {
 		return err
 	}
+	if frameKind == kindWithdraw {
+		l.withdrawServed(frame.Number)
+		return nil
+	}
 	l.dropBody(frame.Number)
 	l.cancelServed(frame.Number)
 	return nil
 }
 
+// withdrawServed withdraws a call of the peer, which waits for the answer: a refusal unless the call has started.
+func (l *Link) withdrawServed(number uint64) {
+	l.mu.Lock()
+	served := l.serving[number]
+	l.mu.Unlock()
+	if served != nil && served.withdraw != nil {
+		served.withdraw()
+	}
+}
+
 // receiveState handles a state, which a ping and a pong carry as well.
 func (l *Link) receiveState(frameKind kind, body []byte) error {
 	var frame stateFrame
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -43,8 +43,9 @@
 	kindCallAfterBody  // a call whose body was sent in pieces
 	kindLeaseRequest   // a peer is asked to renew a lease in the store
 	kindLeaseReply     // its reply
+	kindWithdraw       // a call is to be refused unless it has started
 
-	lastKind = kindLeaseReply
+	lastKind = kindWithdraw
 )
 
 // Call is one attempt of a request at a target.
@@ -79,6 +80,9 @@
 	// A call whose Confirm is nil needs no confirmation.
 	Confirm func() bool `cbor:"-"`
 
+	// Shutdown is that of the process that sends the call; nil if it has none.
+	Shutdown *Shutdown `cbor:"-"`
+
 	// NeverRuns is set by Exchange if the client has left and the call certainly has not reached the target.
 	NeverRuns bool `cbor:"-"`
 }
--- a/internal/proxy/carrier/piece.go
+++ b/internal/proxy/carrier/piece.go
@@ -53,8 +53,9 @@
 // servedCall is a call of the peer without an answer. Its entry in Link.serving exists from its arrival until
 // the answer has been sent or the call is canceled, whichever is first.
 type servedCall struct {
-	cancel func() // cancels the call, or the sending of its answer; called at most once; nil for no effect
-	size   int    // of the body of the request in bytes
+	cancel   func() // cancels the call, or the sending of its answer; called at most once; nil for no effect
+	withdraw func() // refuses the call unless it has started; nil for no effect
+	size     int    // of the body of the request in bytes
 }
 
 // endServing removes a call of the peer and returns it, or nil if it has been removed before: then the
--- a/internal/proxy/deliverer/deliverer.go
+++ b/internal/proxy/deliverer/deliverer.go
@@ -54,6 +54,9 @@
 	// bulkSizeWeight is the weight of one response in the moving average of sizes.
 	bulkSizeWeight = 0.05
 
+	// reasonWithdrawn is the reason of a call that is refused because its sender is stopping.
+	reasonWithdrawn = "withdrawn"
+
 	// ampleTimeFactor is the multiple of the mean service time within which nearly all calls
 	// end.
 	ampleTimeFactor = 6
@@ -115,11 +118,19 @@
 	answer    func(*carrier.Answer)
 	conn      *conn // connection that carries the call; nil unless the target runs it
 	canceled  bool
+	withdrawn bool           // the call is to be refused unless its request was sent
 	timer     *time.Timer    // calls refuseOverdue; nil if the call was not queued
 	expires   expirer.Expiry // end of the time for which the caller waits
 	unreserve func()         // ends the reservation of the uplink for a large response; nil for other calls
+	deliverer *Deliverer
 }
 
+// Cancel implements carrier.Delivery.
+func (v *delivery) Cancel() { v.deliverer.cancel(v) }
+
+// Withdraw implements carrier.Delivery.
+func (v *delivery) Withdraw() { v.deliverer.withdraw(v) }
+
 // Update applies the newest accepted report of the target.
 func (d *Deliverer) Update(report tracker.Report, now time.Time) {
 	d.mu.Lock()
@@ -278,11 +289,11 @@
 }
 
 // Serve delivers a call to the target and passes its outcome to answer once, unless the call is
-// canceled while it is queued. The returned function cancels the call: a queued call is removed, and
-// an idempotent one that the target runs is aborted. It is nil if the call was refused at once.
-func (d *Deliverer) Serve(call *carrier.Call, answer func(*carrier.Answer)) func() {
+// canceled while it is queued. To cancel removes a queued call, and aborts an idempotent one that the
+// target runs. The result is nil if the call was refused at once.
+func (d *Deliverer) Serve(call *carrier.Call, answer func(*carrier.Answer)) carrier.Delivery {
 	now := time.Now()
-	v := &delivery{call: call, answer: answer}
+	v := &delivery{call: call, answer: answer, deliverer: d}
 	v.Class = admitter.Class{
 		Account: call.Account, Priority: call.Priority, Nested: call.Nested, ClientRetry: call.ClientRetry,
 	}
@@ -303,7 +314,7 @@
 		d.refuse(v, reason, retryAfter, false)
 		return nil
 	}
-	return func() { d.cancel(v) }
+	return v
 }
 
 // admit starts or queues a call. If the call is refused, it returns the reason and the delay
@@ -392,6 +403,31 @@
 	}
 }
 
+// withdraw refuses a queued call, and one that has a slot but whose request has not been sent yet.
+func (d *Deliverer) withdraw(v *delivery) {
+	d.mu.Lock()
+	v.withdrawn = true
+	removed := d.queue.Remove(&v.Job)
+	if removed {
+		v.timer.Stop()
+	}
+	d.mu.Unlock()
+	if removed {
+		d.refuse(v, reasonWithdrawn, 0, false)
+	}
+}
+
+// unwantedReason returns why the sender of a call does not want it to start any more, or "". d.mu must be held.
+func (v *delivery) unwantedReason() string {
+	switch {
+	case v.canceled:
+		return "given up"
+	case v.withdrawn:
+		return reasonWithdrawn
+	}
+	return ""
+}
+
 // run delivers a call that has a slot, releases the slot, and answers the call.
 func (d *Deliverer) run(v *delivery) {
 	started := time.Now()
@@ -499,8 +535,8 @@
 	d.mu.Lock()
 	instance := d.target.ID
 	reason := d.unavailableReason(now)
-	if reason == "" && v.canceled {
-		reason = "given up"
+	if reason == "" {
+		reason = v.unwantedReason()
 	}
 	if reason == "" && d.Clock.Passed(v.expires) {
 		reason = "deadline passed"
--- a/internal/proxy/deliverer/deliverer_test.go
+++ b/internal/proxy/deliverer/deliverer_test.go
@@ -283,11 +283,11 @@
 				return false
 			})
 			d := newDeliverer(s, 1)
-			cancel := d.Serve(newCall("r", test.idempotent), func(*carrier.Answer) {})
+			delivery := d.Serve(newCall("r", test.idempotent), func(*carrier.Answer) {})
 			for s.running.Load() == 0 {
 				time.Sleep(time.Millisecond)
 			}
-			cancel()
+			delivery.Cancel()
 			assert.Equal(t, <-closed, test.closes)
 		})
 	}
--- a/internal/proxy/deliverer/exchange.go
+++ b/internal/proxy/deliverer/exchange.go
@@ -23,16 +23,16 @@
 	d.mu.Lock()
 	v.conn = c
 	d.addRunning(v.call)
-	canceled := v.canceled
+	reason := v.unwantedReason()
 	d.mu.Unlock()
 	defer func() {
 		d.mu.Lock()
 		d.removeRunning(v.call)
 		d.mu.Unlock()
 	}()
-	if canceled {
-		_ = c.Close() // the call was canceled before anything was sent
-		return &carrier.Answer{Outcome: carrier.Refused, Reason: "given up"}
+	if reason != "" {
+		_ = c.Close() // nothing was sent
+		return &carrier.Answer{Outcome: carrier.Refused, Reason: reason}
 	}
 	bodyWritten, err := c.write(v.call, instance, time.Until(deadline))
 	if err != nil {
--- a/internal/proxy/forwarder/explain_test.go
+++ b/internal/proxy/forwarder/explain_test.go
@@ -30,7 +30,7 @@
 	calls atomic.Int64
 }
 
-func (p *fakePeer) Serve(_ *carrier.Call, answer func(*carrier.Answer)) func() {
+func (p *fakePeer) Serve(_ *carrier.Call, answer func(*carrier.Answer)) carrier.Delivery {
 	p.calls.Add(1)
 	answer(&carrier.Answer{Outcome: carrier.Refused})
 	return nil
--- a/internal/proxy/forwarder/forwarder.go
+++ b/internal/proxy/forwarder/forwarder.go
@@ -104,9 +104,8 @@
 
 // Local delivers calls to the target on this host.
 type Local interface {
-	// Serve delivers a call and passes its outcome to answer once. The returned function
-	// cancels the call; it may be nil.
-	Serve(call *carrier.Call, answer func(*carrier.Answer)) func()
+	// Serve delivers a call and passes its outcome to answer once. The result is nil if the call has ended.
+	Serve(call *carrier.Call, answer func(*carrier.Answer)) carrier.Delivery
 	State() carrier.State
 	// ParentPriority returns the priority of the request from whose ID the given ID was derived,
 	// and whether the target is running such a request.
@@ -131,6 +130,7 @@
 	EvenLoad      bool                   // whether targets are chosen by balancer.PickEven
 	Registry      *exposer.Registry      // rollouts; nil if the exposure of versions is not limited
 	Limiter       Limiter                // nil if there are no usage caps
+	Shutdown      *carrier.Shutdown      // of this process; nil if it has none
 
 	mu           sync.Mutex
 	budgets      map[string]*budgeter.Budget   // by service
@@ -250,6 +250,10 @@
 		}
 		return p.unansweredResult(), true
 	}
+	if f.stopsBefore(to, now) {
+		p.reason = reasonStopping
+		return p.unansweredResult(), true
+	}
 	if p.arrivals > 0 && (p.arrivals >= p.Route.MaxAttempts || !f.allowRetry(p, now)) {
 		p.reason += "; no more attempts"
 		return p.unansweredResult(), true
@@ -257,6 +261,7 @@
 	p.attempt++
 	p.node = to.node
 	call := p.call(now, f.Service)
+	call.Shutdown = f.Shutdown
 	call.NoWait = !to.reportedFull && p.probes > 0
 	answer := f.exchange(p, to, call, remaining)
 	if answer == nil {
@@ -276,7 +281,7 @@
 // processAnswer decides from the outcome of an attempt whether the request has its result. It
 // returns false if another attempt may follow.
 func (f *Forwarder) processAnswer(p *progress, to destination, call *carrier.Call, answer *carrier.Answer) (Result, bool) {
-	if answer.Outcome == carrier.Unknown && f.void(to, call) {
+	if answer.Outcome == carrier.Unknown && f.voidInTime(to, call) {
 		answer.Outcome = carrier.Refused
 	}
 	if answer.Outcome != carrier.Answered {
@@ -384,25 +389,12 @@
 	if to.link != nil {
 		return to.link.Exchange(call, p.Gone, remaining+answerGrace)
 	}
-	answers := make(chan *carrier.Answer, 1)
-	cancel := f.Local.Serve(call, func(answer *carrier.Answer) { answers <- answer })
-	select {
-	case answer := <-answers:
-		return answer
-	case <-p.Gone:
-		if cancel != nil {
-			cancel()
-		}
-		return nil
-	}
+	return f.exchangeLocally(p, call)
 }
 
 // void asks the node of an attempt with an unknown outcome, over a new link, to void the
 // attempt. It reports whether this proves that the attempt never reached its target.
 func (f *Forwarder) void(to destination, call *carrier.Call) bool {
-	if call.Idempotent || to.link == nil {
-		return false
-	}
 	link, cleanUp, err := f.Hub.DialTemporary(to.link.Peer.Address)
 	if err != nil {
 		f.Log.Info("forward: attempt not voided, its outcome stays unknown",
--- a/internal/proxy/forwarder/forwarder_test.go
+++ b/internal/proxy/forwarder/forwarder_test.go
@@ -24,7 +24,7 @@
 	calls   []*carrier.Call
 }
 
-func (t *fakeTarget) Serve(call *carrier.Call, answer func(*carrier.Answer)) func() {
+func (t *fakeTarget) Serve(call *carrier.Call, answer func(*carrier.Answer)) carrier.Delivery {
 	t.calls = append(t.calls, call)
 	next := t.answers[0]
 	if len(t.answers) > 1 {
@@ -34,9 +34,15 @@
 		copied := *next
 		answer(&copied)
 	}
-	return func() {}
+	return fakeDelivery{}
 }
 
+// fakeDelivery is a call that nothing ends.
+type fakeDelivery struct{}
+
+func (fakeDelivery) Cancel()   {}
+func (fakeDelivery) Withdraw() {}
+
 func (t *fakeTarget) State() carrier.State { return carrier.State{Serving: true, Slots: 4} }
 
 // ParentPriority treats IDs that begin with "p" as derived from a running request.
--- a/internal/proxy/runner/runner.go
+++ b/internal/proxy/runner/runner.go
@@ -54,6 +54,9 @@
 	// minIdleTime is the time without a request after which clients count as idle.
 	minIdleTime = 400 * time.Millisecond
 
+	// answerPeriod is the maximum time, within killMargin, for sending the last responses to clients.
+	answerPeriod = 150 * time.Millisecond
+
 	// killMargin is the time before SIGKILL that is reserved for removing this node's entry from
 	// the store and closing the remaining connections.
 	killMargin = 900 * time.Millisecond
@@ -126,8 +129,9 @@
 	releaser    *releaser.Releaser   // nil likewise
 	throttler   *throttler.Throttler // nil if the settings have no usage caps
 	memory      *reserver.Reserver   // nil if the settings contain no limit
-	overdue     bool                 // whether the grace time of the shutdown was over before its end
-	ended       chan struct{}        // closed when Run returns
+	shutdown    carrier.Shutdown
+	overdue     bool          // whether the grace time of the shutdown was over before its end
+	ended       chan struct{} // closed when Run returns
 }
 
 // Run serves until stop is closed and then shuts down gracefully.
@@ -169,7 +173,6 @@
 		zap.String("address", n.self.Address))
 	n.loop(stop)
 	n.shutDown()
-	n.deliverer.Stop()
 	stopFinder()
 	n.Log.Info("node: stopped", zap.Duration("ran", time.Since(n.started)))
 	return nil
@@ -209,6 +212,7 @@
 		Local:         n.deliverer,
 		Hub:           n.hub,
 		EvenLoad:      s.Bounds.EvenLoad(),
+		Shutdown:      &n.shutdown,
 	}
 	n.forwarder.Budget = func() budgeter.Budget { return n.budget() }
 	n.acceptor = &acceptor.Acceptor{
@@ -488,7 +492,7 @@
 }
 
 // Serve delivers a call from another node. See deliverer.Deliverer.Serve.
-func (n *Node) Serve(call *carrier.Call, answer func(*carrier.Answer)) func() {
+func (n *Node) Serve(call *carrier.Call, answer func(*carrier.Answer)) carrier.Delivery {
 	return n.deliverer.Serve(call, answer)
 }
 
@@ -509,6 +513,7 @@
 func (n *Node) shutDown() {
 	began := time.Now()
 	n.stopping.Store(true)
+	n.shutdown.Begin(began.Add(n.Settings.Bounds.StopGracePeriod - killMargin))
 	n.acceptor.Stop()
 	if n.throttler != nil {
 		go n.throttler.Release(minServePeriod)
@@ -526,6 +531,27 @@
 	n.serveUntil(func(time.Duration) bool {
 		return n.acceptor.OpenRequests() == 0 && n.deliverer.Busy() == 0
 	}, began)
+	n.endRequests()
+}
+
+// endRequests ends all requests, and refuses the calls of other nodes that have not started. It waits until the last
+// responses to clients are sent, for answerPeriod at most.
+func (n *Node) endRequests() {
+	n.acceptor.Refuse()
+	n.deliverer.Stop()
+	n.shutdown.Finish()
+	ticker := time.NewTicker(answerPeriod / 10)
+	defer ticker.Stop()
+	for end := time.Now().Add(answerPeriod); n.acceptor.OpenRequests() > 0 && time.Now().Before(end); {
+		select {
+		case event := <-n.events:
+			event()
+		case <-ticker.C:
+		}
+	}
+	if open := n.acceptor.OpenRequests(); open > 0 {
+		n.Log.Warn("node: stopped before all requests were answered", zap.Int("requests", open))
+	}
 }
 
 // clientsIdle reports whether no request is open and none has arrived for minIdleTime.
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -233,6 +233,16 @@
 			"timeoutS": 3, "targetLatencyS": 0.5, "service": service, "maxAttempts": 2,
 		})
 	}
+	m.writeRoutesWith(version, routes, accounts)
+}
+
+// writeRoutes writes a version of the configuration with the given routes.
+func (m *mesh) writeRoutes(version int, routes []map[string]any) {
+	m.writeRoutesWith(version, routes, nil)
+}
+
+// writeRoutesWith is writeRoutes with client accounts.
+func (m *mesh) writeRoutesWith(version int, routes, accounts []map[string]any) {
 	text, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": accounts,
 		"services": []map[string]any{{"name": "first"}, {"name": "second"}},
