Let each node lend its part of a rate to one issuer at a time

Cause: a node that knows no issuer admits by its equal part of the rate, while an issuer granted the parts of all nodes to which it was linked, whatever these believed. A restored store made an issuer announce that it has no shards, and take the same ones again without an announcement. Each failure after which nodes differ about the issuer used parts of the rate twice.

Fix: a node lends its part to one issuer, for 2 s from the issuer's request, and uses it again only after that or when the issuer has certainly returned it. Buckets are filled by the parts that are borrowed. An issuer counts each change of its shards and returns all parts at each; no state shows other shards with the same count. A process that starts admits by its part only once a loan of an earlier one has ended. The number of nodes by which rates are divided is the highest that issuer or lender knew lately.

TestIssuingDuringChange looked at the order in which one call reads the count and the shards; it is replaced by one that is as strict for the new code, which changes both under one lock: no two states have the same count and different shards.

--- a/internal/proxy/carrier/carrier_test.go
+++ b/internal/proxy/carrier/carrier_test.go
@@ -31,6 +31,7 @@
 	received atomic.Uint64   // version of the last update received
 	issuing  atomic.Uint64   // shards whose issuer the node is, and the number of changes
 	grants   chan *CreditGrant
+	parts    chan lentParts
 }
 
 func (s *testServer) Serve(call *Call, answer func(*Answer)) Delivery {
@@ -77,6 +78,17 @@
 	return grant
 }
 
+// LendParts lends all parts.
+func (s *testServer) LendParts(_ *Peer, request *PartRequest) *PartReply {
+	return &PartReply{Time: request.Time, Term: request.Term, Shards: request.Shards, Nodes: 2}
+}
+
+func (s *testServer) ReceiveParts(lender *Peer, reply *PartReply) {
+	if s.parts != nil {
+		s.parts <- lentParts{lender: *lender, reply: *reply}
+	}
+}
+
 func (s *testServer) ReceiveCredit(grant *CreditGrant) {
 	if s.grants != nil {
 		s.grants <- grant
--- a/internal/proxy/carrier/credit.go
+++ b/internal/proxy/carrier/credit.go
@@ -9,6 +9,10 @@
 	GrantCredit(request *CreditRequest) *CreditGrant
 	// ReceiveCredit receives the reply of an issuer.
 	ReceiveCredit(grant *CreditGrant)
+	// LendParts serves a request of an issuer for the parts of this node.
+	LendParts(issuer *Peer, request *PartRequest) *PartReply
+	// ReceiveParts receives the parts that a node has lent.
+	ReceiveParts(lender *Peer, reply *PartReply)
 	// RenewLease renews a lease of another node in the store and reports whether that succeeded.
 	RenewLease(lease uint64) bool
 }
@@ -58,12 +62,30 @@
 	RetryAfter time.Duration // if less than wanted: time until clients that were refused may return
 }
 
+// PartRequest asks a node to lend the issuer its parts of the rates of client accounts. While a part is lent, the
+// node admits the requests of these accounts only by credit of the issuer.
+type PartRequest struct {
+	_      struct{}      `cbor:",toarray"`
+	Time   time.Duration // time of the request on the clock of the issuer; the loan counts from then
+	Term   uint64        // Issuing.Changes of the issuer
+	Shards uint64        // bit set of the shards that it holds
+}
+
+// PartReply is the reply to a PartRequest.
+type PartReply struct {
+	_      struct{} `cbor:",toarray"`
+	Time   time.Duration
+	Term   uint64
+	Shards uint64 // bit set of the shards whose parts are lent
+	Nodes  int    // number of nodes that the lender knows of, among which the rates are divided
+}
+
 // Issuing is the part of a node's state that concerns the issuing of credit.
 type Issuing struct {
 	_       struct{} `cbor:",toarray"`
 	Shards  uint64   // bit set of the shards of client accounts whose issuer the node is
 	NoMore  bool     // whether the node takes no shards, since it is stopping
-	Changes uint64   // number of changes so far, since states may arrive out of order
+	Changes uint64   // number of changes so far, since states may arrive out of order; see PartRequest.Term
 }
 
 // issuingProcess is what a process of a node has announced about the issuing of credit.
@@ -115,18 +137,31 @@
 // RequestCredit sends a request for credit without waiting for the reply.
 func (l *Link) RequestCredit(request *CreditRequest) { l.sendOrClose(kindCreditRequest, request) }
 
-// handleCredit handles both frames of the exchange of credit. They are ignored on a node without caps.
+// RequestParts asks the peer for its parts without waiting for the reply.
+func (l *Link) RequestParts(request *PartRequest) { l.sendOrClose(kindPartRequest, request) }
+
+// handleCredit handles the frames by which credit and parts are exchanged. They are ignored on a node without caps.
 func (l *Link) handleCredit(frameKind kind, body []byte) error {
 	if l.hub.Credits == nil {
 		return nil
 	}
-	if frameKind == kindCreditGrant {
+	switch frameKind {
+	case kindCreditGrant:
 		var grant CreditGrant
 		if err := decMode.Unmarshal(body, &grant); err != nil {
 			return err
 		}
 		l.hub.Credits.ReceiveCredit(&grant)
 		return nil
+	case kindPartRequest:
+		return l.lendParts(body)
+	case kindPartReply:
+		var reply PartReply
+		if err := decMode.Unmarshal(body, &reply); err != nil {
+			return err
+		}
+		l.hub.Credits.ReceiveParts(&l.Peer, &reply)
+		return nil
 	}
 	var request CreditRequest
 	if err := decMode.Unmarshal(body, &request); err != nil {
@@ -137,3 +172,17 @@
 	}
 	return nil
 }
+
+// lendParts replies to a request of the peer for the parts of this node. The request shows what the peer issues, like a
+// state does.
+func (l *Link) lendParts(body []byte) error {
+	var request PartRequest
+	if err := decMode.Unmarshal(body, &request); err != nil {
+		return err
+	}
+	l.recordIssuing(&State{Issuing: Issuing{Shards: request.Shards, Changes: request.Term}})
+	if reply := l.hub.Credits.LendParts(&l.Peer, &request); reply != nil {
+		l.sendOrClose(kindPartReply, reply)
+	}
+	return nil
+}
--- a/internal/proxy/carrier/credit_test.go
+++ b/internal/proxy/carrier/credit_test.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -68,3 +69,55 @@
 	restarted.Started++
 	assert.Equal(t, near.Issuing(&restarted).Shards, uint64(0))
 }
+
+// lentParts are parts that a peer has lent.
+type lentParts struct {
+	lender Peer
+	reply  PartReply
+}
+
+// TestParts checks the exchange of parts over a link, and that the request shows what its sender issues.
+func TestParts(t *testing.T) {
+	issuer := &testServer{serve: echo, canceled: make(chan string, 8), parts: make(chan lentParts, 1)}
+	near := startHub(t, "near", issuer)
+	far := startHub(t, "far", &testServer{serve: echo, canceled: make(chan string, 8)})
+	near.SetPeers(map[string]Peer{far.Self.Address: far.Self}, nil)
+	for len(near.Links()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	near.Links()[0].RequestParts(&PartRequest{Time: 5, Term: 7, Shards: 3})
+	parts := <-issuer.parts
+	assert.Equal(t, parts.lender.Node, "far")
+	assert.Equal(t, parts.reply, PartReply{Time: 5, Term: 7, Shards: 3, Nodes: 2})
+	assert.Equal(t, far.Issuing(&near.Self), Issuing{Shards: 3, Changes: 7})
+}
+
+// TestEnded guards against a process that counts as ended although this node has closed the link to it, and may be cut
+// off from it, and against one that does not although it has closed its links.
+func TestEnded(t *testing.T) {
+	tests := map[string]struct {
+		close func(near, far *Hub)
+		ended bool
+	}{
+		"by the peer":  {func(_, far *Hub) { far.close() }, true},
+		"by this node": {func(near, _ *Hub) { near.Links()[0].Close() }, false},
+		"not at all":   {func(*Hub, *Hub) {}, false},
+		"linked again": {func(near, _ *Hub) { _ = near.Links()[0].conn.(*net.TCPConn).CloseWrite() }, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			near := startHub(t, "near", &testServer{serve: echo, canceled: make(chan string, 8)})
+			far := startHub(t, "far", &testServer{serve: echo, canceled: make(chan string, 8)})
+			near.SetPeers(map[string]Peer{far.Self.Address: far.Self}, nil)
+			for len(near.Links()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			test.close(near, far)
+			time.Sleep(100 * time.Millisecond)
+			for end := time.Now().Add(5 * time.Second); near.Ended("far", far.Self.Started) != test.ended; time.Sleep(5 * time.Millisecond) {
+				assert.Assert(t, time.Now().Before(end))
+			}
+			assert.Assert(t, !near.Ended("far", far.Self.Started+1))
+		})
+	}
+}
--- a/internal/proxy/carrier/hub.go
+++ b/internal/proxy/carrier/hub.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -54,6 +56,7 @@
 	linksByService map[string][]*Link        // the same links, by the service of the node's target
 	linked         map[string]struct{}       // memory for the addresses of linked peers
 	issuing        map[string]issuingProcess // by node; those that have never issued credit are missing
+	ended          map[string]int64          // by node: start time of the process that has ended the last link to it
 	closed         bool
 	added          uint64       // number of links that were ever registered
 	leaseRequests  atomic.Int64 // number of leases that are being renewed for peers
@@ -145,7 +148,7 @@
 		zap.String("address", l.Peer.Address),
 		zap.Bool("dialed", l.dialed))
 	err := l.run()
-	h.remove(l)
+	h.remove(l, endedByPeer(err))
 	h.Log.Info("link: lost",
 		zap.String("node", l.Peer.Node),
 		zap.String("address", l.Peer.Address),
@@ -163,16 +166,42 @@
 	h.added++
 	l.order = h.added
 	h.allLinks[l] = struct{}{}
+	delete(h.ended, l.Peer.Node)
 	h.selectLinks()
 	return true
 }
 
-// remove removes a link that has ended.
-func (h *Hub) remove(l *Link) {
+// remove removes a link that has ended. byPeer says whether the peer has ended it.
+func (h *Hub) remove(l *Link, byPeer bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.allLinks, l)
 	h.selectLinks()
+	for other := range h.allLinks {
+		if other.Peer.Node == l.Peer.Node {
+			return
+		}
+	}
+	if byPeer {
+		if h.ended == nil {
+			h.ended = make(map[string]int64)
+		}
+		h.ended[l.Peer.Node] = l.Peer.Started
+	}
+}
+
+// endedByPeer reports whether the error of a link shows that its other end was closed or has ended, so that the peer
+// counts it as lost too.
+func endedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// Ended reports whether a process of a node has ended its last link to this node, and no link came up since.
+func (h *Hub) Ended(node string, started int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ended, ok := h.ended[node]
+	return ok && ended == started
 }
 
 // selectLinks selects for each node the link that both sides prefer.
--- a/internal/proxy/carrier/link.go
+++ b/internal/proxy/carrier/link.go
@@ -320,7 +320,7 @@
 		return l.handleConfirm(frameKind, body)
 	case kindSuspect:
 		return l.receiveSuspicion(body)
-	case kindCreditRequest, kindCreditGrant:
+	case kindCreditRequest, kindCreditGrant, kindPartRequest, kindPartReply:
 		return l.handleCredit(frameKind, body)
 	case kindLeaseRequest, kindLeaseReply:
 		return l.handleLease(frameKind, body)
--- a/internal/proxy/carrier/message.go
+++ b/internal/proxy/carrier/message.go
@@ -44,8 +44,10 @@
 	kindLeaseRequest   // a peer is asked to renew a lease in the store
 	kindLeaseReply     // its reply
 	kindWithdraw       // a call is to be refused unless it has started
+	kindPartRequest    // an issuer asks for a node's parts of the rates of client accounts
+	kindPartReply      // its reply
 
-	lastKind = kindWithdraw
+	lastKind = kindPartReply
 )
 
 // Call is one attempt of a request at a target.
--- a/internal/proxy/runner/throttle.go
+++ b/internal/proxy/runner/throttle.go
@@ -24,6 +24,7 @@
 		Remotes:  n.remotes,
 		Announce: n.hub.Announce,
 		Known:    func() int { return int(n.knownNodes.Load()) },
+		Ended:    func(p throttler.Process) bool { return n.hub.Ended(p.Node, p.Started) },
 		Nodes:    func() int { return int(max(n.maxNodes.Load(), minLocalNodes)) },
 	}
 	n.forwarder.Limiter = n.throttler
@@ -41,21 +42,20 @@
 	return candidates
 }
 
-// remotes returns the nodes to which a link is up and that respond.
+// remotes returns the nodes to which a link is up.
 func (n *Node) remotes() []throttler.Remote {
 	links := n.hub.Links()
 	remotes := make([]throttler.Remote, 0, len(links))
 	for _, l := range links {
-		if l.Suspect() {
-			continue
-		}
 		state, _, _, _ := l.State()
 		remotes = append(remotes, throttler.Remote{
-			Peer:       l.Peer,
-			Issuing:    n.hub.Issuing(&l.Peer),
-			Send:       l.RequestCredit,
-			ReadsStore: state.ReadsStore,
-			RenewLease: l.RenewLease,
+			Peer:         l.Peer,
+			Issuing:      n.hub.Issuing(&l.Peer),
+			Send:         l.RequestCredit,
+			Suspect:      l.Suspect(),
+			RequestParts: l.RequestParts,
+			ReadsStore:   state.ReadsStore,
+			RenewLease:   l.RenewLease,
 		})
 	}
 	return remotes
--- a/internal/proxy/throttler/entry.go
+++ b/internal/proxy/throttler/entry.go
@@ -93,6 +93,7 @@
 
 	accounts [Shards]map[string]*entryAccount
 	issuers  [Shards]issuerState
+	lent     [Shards]lentPart
 }
 
 // issuerState is what the entry node knows of the issuer of a shard.
@@ -161,12 +162,11 @@
 	}
 }
 
-// takePart takes a request from this node's equal part of an account's rate while no issuer is reachable. An
-// issuer that is alive grants only the part of the nodes that it reaches (Issuer.SetReach), so both together
-// stay within the rate. The part is empty when the issuer is lost.
+// takePart takes a request from this node's equal part of an account's rate while no issuer is known and the
+// part is not lent. The part is empty when the issuer is lost.
 func (e *Entry) takePart(a *entryAccount, account string, now time.Duration) bool {
 	issuer := &e.issuers[a.shard]
-	if issuer.id != (Process{}) || e.Cap == nil {
+	if issuer.id != (Process{}) || e.Cap == nil || now < e.lent[a.shard].until {
 		return false
 	}
 	if issuer.lostAt == 0 {
--- a/internal/proxy/throttler/holding.go
+++ b/internal/proxy/throttler/holding.go
@@ -20,7 +20,6 @@
 			return
 		case <-t.release:
 			t.keeper.Release("node is stopping")
-			t.changes.Add(1)
 			t.async(t.Announce)
 			return
 		case <-ticker.C:
@@ -42,10 +41,9 @@
 	default:
 		t.keeper.Step(t.wanted())
 	}
-	if held := t.keeper.Held(); held != t.announced {
-		t.announced = held
-		t.changes.Add(1)
-		t.Meter.Gauge("throttle_shards", float64(len(shardList(held))))
+	if issuing := t.Issuing(); issuing.Changes != t.announced {
+		t.announced = issuing.Changes
+		t.Meter.Gauge("throttle_shards", float64(len(shardList(issuing.Shards))))
 		t.async(t.Announce)
 	}
 }
@@ -116,7 +114,7 @@
 	responding := map[string]struct{}{t.Self.Node: {}}
 	peers := []carrier.Peer{t.Self}
 	for _, r := range t.remotes {
-		if !r.Issuing.NoMore {
+		if !r.Suspect && !r.Issuing.NoMore {
 			responding[r.Peer.Node] = struct{}{}
 			peers = append(peers, r.Peer)
 		}
@@ -149,7 +147,7 @@
 
 // renewByPeer asks other nodes to renew the lease of this one, first those that read the store.
 func (t *Throttler) renewByPeer(lease uint64) bool {
-	remotes := t.Remotes()
+	remotes := slices.DeleteFunc(t.Remotes(), func(r Remote) bool { return r.Suspect })
 	rand.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
 	slices.SortStableFunc(remotes, func(a, b Remote) int {
 		switch {
--- a/internal/proxy/throttler/issuer.go
+++ b/internal/proxy/throttler/issuer.go
@@ -21,9 +21,17 @@
 type Issuer struct {
 	Bounds Bounds
 
-	reach   float64 // part of the known nodes that this node reaches, from which the rates follow; 0 for all
-	shards  [Shards]heldShard
-	buckets map[string]*bucket // by account; only those of held shards
+	nodes     int // number of nodes, of which each has an equal part of the rates; 0 if there are no others
+	shards    [Shards]heldShard
+	buckets   map[string]*bucket // by account; only those of held shards
+	loans     map[Process]loan   // parts that nodes have lent, by lender
+	expiresAt time.Duration      // earliest end of a loan
+}
+
+// loan is a part of the rates that a node has lent to the issuer.
+type loan struct {
+	shards uint64        // bit set of the shards to whose accounts it belongs
+	until  time.Duration // end of the loan
 }
 
 // heldShard is the state of a shard at its issuer.
@@ -31,6 +39,7 @@
 	held  bool
 	since time.Duration // time at which it was taken, with empty buckets
 	epoch uint64        // random; tells the periods apart in which nodes held the shard
+	lent  int           // number of nodes whose part is lent
 }
 
 // bucket holds the tokens of one account.
@@ -40,13 +49,13 @@
 	backlog float64 // refused requests that are expected to return, drained like tokens are added
 	late    float64 // credits that may still be returned late
 	updated time.Duration
-	reach   float64       // factor on the rates
+	part    float64       // part of the rates that nodes have lent
 	above   time.Duration // last time at which there were more than limits.Shallow tokens, or the limits changed
 }
 
 // Take records that this node holds a shard from now on. Its buckets are empty.
 func (i *Issuer) Take(shard int, now time.Duration) {
-	i.dropBuckets(shard)
+	i.Drop(shard)
 	i.shards[shard] = heldShard{held: true, since: now, epoch: rand.Uint64()}
 }
 
@@ -54,6 +63,10 @@
 func (i *Issuer) Drop(shard int) {
 	i.dropBuckets(shard)
 	i.shards[shard] = heldShard{}
+	for lender, l := range i.loans {
+		l.shards &^= 1 << shard
+		i.loans[lender] = l
+	}
 }
 
 func (i *Issuer) dropBuckets(shard int) {
@@ -67,6 +80,7 @@
 // SetAccounts applies the limits of a new configuration at once. The bucket of an account that is not limited any more
 // is kept for a window, since a later configuration may limit the account again and a new bucket is full.
 func (i *Issuer) SetAccounts(table *matcher.Table, now time.Duration) {
+	i.endLoans(now)
 	for name, b := range i.buckets {
 		account := table.AccountByName(name)
 		if account == nil || account.Rate == 0 {
@@ -88,6 +102,7 @@
 	if !shard.held || account.Rate == 0 {
 		return grant
 	}
+	i.endLoans(now)
 	grant.Issued, grant.Epoch, grant.Time, grant.Asked = true, shard.epoch, now, want+ahead
 	b := i.bucket(account, shard.since)
 	b.setLimits(i.Bounds.Limits(account.Rate, account.Burst), now)
@@ -112,6 +127,7 @@
 	if !shard.held || r.Epoch != shard.epoch || b == nil || r.Count <= 0 || r.Count > maxWant {
 		return
 	}
+	i.endLoans(now)
 	b.refill(now)
 	count := float64(r.Count)
 	if age := now - r.Time; age < 0 || age > returnAge {
@@ -129,10 +145,8 @@
 		if i.buckets == nil {
 			i.buckets = make(map[string]*bucket)
 		}
-		b = &bucket{limits: i.Bounds.Limits(account.Rate, account.Burst), updated: since, above: since, reach: 1}
-		if i.reach > 0 {
-			b.reach = i.reach
-		}
+		b = &bucket{limits: i.Bounds.Limits(account.Rate, account.Burst), updated: since, above: since}
+		b.part = i.part(ShardOf(account.Name))
 		i.buckets[account.Name] = b
 	}
 	return b
@@ -150,24 +164,11 @@
 	b.late = min(b.late, limits.Late/2)
 }
 
-// SetReach sets the part of the known nodes that this node reaches. The others admit their equal parts of the
-// rates without credit while they reach no issuer (Entry.takePart).
-func (i *Issuer) SetReach(reach float64, now time.Duration) {
-	if reach == i.reach {
-		return
-	}
-	i.reach = reach
-	for _, b := range i.buckets {
-		b.refill(now)
-		b.reach = reach
-	}
-}
-
 // refill adds the tokens until now: at the fast rate up to the shallow depth if the bucket has held no more
 // for the whole span, else at the usual rate. In each span, either no grant comes from tokens above the
 // shallow depth or none from the fast rate.
 func (b *bucket) refill(now time.Duration) {
-	elapsed := max(now-b.updated, 0).Seconds() * b.reach
+	elapsed := max(now-b.updated, 0).Seconds() * b.part
 	added, slow := 0.0, elapsed
 	if l := &b.limits; b.updated-b.above >= l.Span && l.FastRate > 0 {
 		fast := min(elapsed, max(l.Shallow-b.tokens, 0)/l.FastRate)
--- a/internal/proxy/throttler/replay_test.go
+++ b/internal/proxy/throttler/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -41,6 +42,7 @@
 	down        bool // the process has ended
 	suspended   bool
 	partitioned bool // from all other nodes and the store
+	era         int  // of the store, as far as the node knows
 	flushAt     time.Duration
 	process     int
 	// Links carry the last state that was announced.
@@ -106,6 +108,16 @@
 func (r *replay) latency() time.Duration {
 	return time.Millisecond + time.Duration(r.random.Int64N(int64(3*time.Millisecond)))
 }
+
+// noteEra makes the node doubt what it holds in the store if the era is later than the one it knows.
+func (n *replayNode) noteEra(era int) bool {
+	if era <= n.era {
+		return false
+	}
+	n.era = era
+	n.throttler.Doubt()
+	return true
+}
 func (n *replayNode) on(action func()) { n.perform(n.process, action) }
 func (n *replayNode) reachable(m *replayNode) bool {
 	return n == m || !n.down && !m.down && !n.partitioned && !m.partitioned
@@ -126,6 +138,8 @@
 type replayStore struct {
 	r        *replay
 	away     bool
+	era      int // number of restorations
+	copied   *storeCopy
 	revision uint64
 	items    map[string]platform.Item
 	leases   map[uint64]time.Duration // end by lease
@@ -138,12 +152,56 @@
 	node *replayNode
 }
 
+// storeCopy is an older copy of the store.
+type storeCopy struct {
+	items  map[string]platform.Item
+	leases map[uint64]time.Duration
+}
+
+func (s *replayStore) copy() {
+	s.copied = &storeCopy{items: maps.Clone(s.items), leases: maps.Clone(s.leases)}
+}
+
+// eraBits is the position of the era in the numbers of revisions and leases, as in those of platform.Store.
+const eraBits = 40
+
+// restore restores the last copy. Its numbers belong to the new era, and leases run on from then.
+func (s *replayStore) restore() {
+	s.era++
+	tag := func(number uint64) uint64 { return uint64(s.era)<<eraBits | number&(1<<eraBits-1) }
+	s.items, s.leases, s.revision = make(map[string]platform.Item), make(map[uint64]time.Duration), tag(s.revision)
+	for key, item := range s.copied.items {
+		item.Revision, item.Lease = tag(item.Revision), tag(item.Lease)
+		s.items[key] = item
+	}
+	for lease := range s.copied.leases {
+		s.leases[tag(lease)] = s.r.now + leaseTTL
+	}
+}
+
+// earlier reports whether a revision or lease is of an earlier era.
+func (s *replayStore) earlier(number uint64) bool { return number != 0 && int(number>>eraBits) < s.era }
+
 // call expires leases and returns an error if the node does not reach the store.
 func (s nodeStore) call() error {
 	s.calls++
 	if s.away || s.node.partitioned {
 		return platform.ErrOutcomeUnknown
 	}
+	if s.node.throttler != nil && s.node.noteEra(s.era) {
+		s.r.announce(s.node)
+		for _, m := range s.r.nodes {
+			s.r.after(s.r.latency(), func() {
+				if s.node.reachable(m) {
+					m.on(func() {
+						if m.noteEra(s.era) {
+							s.r.announce(m)
+						}
+					})
+				}
+			})
+		}
+	}
 	for lease, end := range s.leases {
 		if s.r.now >= end {
 			s.remove(lease)
@@ -188,13 +246,13 @@
 		return 0, err
 	}
 	for _, c := range conditions {
-		if s.items[c.Key].Revision != c.Revision {
+		if s.items[c.Key].Revision != c.Revision || s.earlier(c.Revision) {
 			return 0, platform.ErrConflict
 		}
 	}
 	s.revision++
 	for _, w := range writes {
-		if _, ok := s.leases[w.Lease]; !ok {
+		if _, ok := s.leases[w.Lease]; !ok || s.earlier(w.Lease) {
 			return 0, platform.ErrNotFound
 		}
 		s.items[w.Key] = platform.Item{Key: w.Key, Value: w.Value, Lease: w.Lease, Revision: s.revision}
@@ -215,7 +273,7 @@
 	if err := s.call(); err != nil {
 		return err
 	}
-	if _, ok := s.leases[lease]; !ok {
+	if _, ok := s.leases[lease]; !ok || s.earlier(lease) {
 		return platform.ErrNotFound
 	}
 	s.leases[lease] = s.r.now + leaseTTL
@@ -281,6 +339,7 @@
 func (r *replay) startProcess(n *replayNode) {
 	n.process++
 	n.down, n.suspended, n.held, n.issuing, n.flushAt = false, false, nil, carrier.Issuing{}, 0
+	n.era = r.store.era
 	n.peer.Started = int64(n.process)
 	peers := make([]carrier.Peer, len(r.nodes))
 	for i, m := range r.nodes {
@@ -294,6 +353,7 @@
 		Nodes: func() int { return len(r.nodes) },
 		Known: func() int { return len(r.nodes) },
 	}
+	t.Ended = func(p Process) bool { return r.hasEnded(n, p) }
 	t.Remotes = func() []Remote { return r.remotes(n) }
 	t.Announce = func() { r.announce(n) }
 	n.throttler = t
@@ -310,6 +370,24 @@
 		})
 	}
 	r.after(time.Duration(r.random.Int64N(int64(keepInterval))), keep)
+	var borrow func()
+	borrow = func() {
+		n.perform(process, func() {
+			t.borrowOnce()
+			r.after(borrowTick, borrow)
+		})
+	}
+	r.after(time.Duration(r.random.Int64N(int64(borrowTick))), borrow)
+}
+
+// hasEnded reports whether a process has ended while node n was linked to it.
+func (r *replay) hasEnded(n *replayNode, p Process) bool {
+	for _, m := range r.nodes {
+		if m.peer.Node == p.Node {
+			return (m.down || int64(m.process) != p.Started) && !n.partitioned && !m.partitioned
+		}
+	}
+	return false
 }
 
 // announce makes the state of a node known to the others after the latency of a link.
@@ -332,11 +410,35 @@
 		remotes = append(remotes, Remote{Peer: m.peer, Issuing: m.issuing, Send: func(request *carrier.CreditRequest) {
 			r.frames++
 			r.after(r.latency(), func() { r.deliver(n, m, request) })
+		}, RequestParts: func(request *carrier.PartRequest) {
+			r.frames++
+			r.after(r.latency(), func() { r.deliverParts(n, m, request) })
 		}})
 	}
 	return remotes
 }
 
+// deliverParts passes a request for parts of node n to node m, and the reply back.
+func (r *replay) deliverParts(n, m *replayNode, request *carrier.PartRequest) {
+	if !n.reachable(m) {
+		return
+	}
+	peer, process := n.peer, n.process
+	m.on(func() {
+		if n.process == process && request.Term >= n.issuing.Changes {
+			n.issuing = carrier.Issuing{Shards: request.Shards, Changes: request.Term}
+		}
+		reply := m.throttler.LendParts(&peer, request)
+		lender := m.peer
+		r.flush(m)
+		r.after(r.latency(), func() {
+			if n.reachable(m) && n.process == process {
+				n.on(func() { n.throttler.ReceiveParts(&lender, reply) })
+			}
+		})
+	})
+}
+
 // deliver passes a frame of node n to node m, and the reply back.
 func (r *replay) deliver(n, m *replayNode, request *carrier.CreditRequest) {
 	if !n.reachable(m) {
@@ -461,6 +563,19 @@
 
 func (r *replay) kill(n *replayNode) { n.down = true }
 
+// flood makes the clients of the busiest account send many times its usual requests.
+func (r *replay) flood() {
+	a := r.accounts[busiest]
+	usual := a.rate(0)
+	a.rate = func(time.Duration) float64 { return 7.5 * usual }
+}
+
+// restoreAt restores the store at a time from a copy of the given age.
+func (r *replay) restoreAt(at, age time.Duration) {
+	r.after(at-age-r.now, func() { r.store.copy() })
+	r.after(at-r.now, func() { r.store.restore() })
+}
+
 func (r *replay) resume(n *replayNode) {
 	n.suspended = false
 	held := n.held
@@ -605,7 +720,6 @@
 					n := r.holder()
 					n.throttler.stopping.Store(true)
 					n.throttler.keeper.Release("stopping")
-					n.throttler.changes.Add(1)
 					r.announce(n)
 					r.after(2*time.Second, func() { r.kill(n) })
 				})
@@ -662,6 +776,63 @@
 			},
 			fault: 10, recover: 12 * time.Second, maxLoss: 0.005, without: []string{busiest},
 		},
+		"store restored under a flood": {
+			inject: func(r *replay) {
+				r.flood()
+				for i := range 3 {
+					r.restoreAt(seconds(8+6*float64(i)), 3*time.Second)
+				}
+			},
+			fault: 8, recover: 18 * time.Second, maxLoss: 0.005, without: []string{busiest}, served: true,
+		},
+		"store restored from before the issuer, which some nodes learn late": {
+			inject: func(r *replay) {
+				r.flood()
+				var first, second *replayNode
+				r.after(3*time.Second, func() { first = r.holder(); r.kill(first) })
+				r.after(10*time.Second, func() { r.startProcess(first) })
+				r.after(3500*time.Millisecond, func() { r.store.copy() }) // with the first issuer's record
+				r.after(14*time.Second, func() {
+					second = r.holder()
+					second.partitioned = true // so that it issues on in the earlier era
+					r.store.restore()
+				})
+				r.after(16*time.Second, func() { second.partitioned = false })
+			},
+			fault: 3, recover: 20 * time.Second, maxLoss: 0.005, without: []string{busiest},
+		},
+		"issuer paused under a flood": {
+			inject: func(r *replay) {
+				r.flood()
+				for i := range 3 {
+					r.after(8*time.Second+time.Duration(i)*5*time.Second, func() {
+						n := r.holder()
+						n.suspended = true
+						r.after(time.Duration(1+i)*time.Second, func() { r.resume(n) })
+					})
+				}
+			},
+			fault: 8, recover: 18 * time.Second, maxLoss: 0.005, without: []string{busiest},
+		},
+		"all nodes restarted under a flood": {
+			inject: func(r *replay) {
+				r.flood()
+				for i, n := range r.nodes {
+					r.after(10*time.Second+time.Duration(i)*20*time.Millisecond, func() { r.kill(n) })
+					r.after(10400*time.Millisecond+time.Duration(i)*20*time.Millisecond, func() { r.startProcess(n) })
+				}
+			},
+			fault: 10, recover: 5 * time.Second, maxLoss: 0.005, without: []string{busiest},
+		},
+		"lease lost under a flood": {
+			inject: func(r *replay) {
+				r.flood()
+				for i := range 3 {
+					r.after(8*time.Second+time.Duration(i)*5*time.Second, func() { clear(r.store.leases) })
+				}
+			},
+			fault: 8, recover: 18 * time.Second, maxLoss: 0.005, without: []string{busiest},
+		},
 		"store away": {
 			inject: func(r *replay) {
 				r.after(10*time.Second, func() { r.store.away = true })
--- a/internal/proxy/throttler/throttler.go
+++ b/internal/proxy/throttler/throttler.go
@@ -42,11 +42,14 @@
 	Gauge(name string, value float64)
 }
 
-// Remote is another node to which a link is up and that responds.
+// Remote is another node to which a link is up.
 type Remote struct {
 	Peer    carrier.Peer
 	Issuing carrier.Issuing
 	Send    func(*carrier.CreditRequest)
+	Suspect bool // whether it does not respond
+
+	RequestParts func(*carrier.PartRequest)
 
 	ReadsStore bool                    // whether its last call to the store succeeded, as far as it says
 	RenewLease func(lease uint64) bool // asks it to renew a lease in the store
@@ -67,19 +70,24 @@
 	Remotes  func() []Remote
 	Announce func()     // announces the state of this node to all linked nodes
 	Nodes    func() int // returns the number of nodes, including those that may have ended
-	Known    func() int // returns the number of nodes that are known now; nil if all are reached
+	Known    func() int // returns the number of nodes that are known now; nil if there are no others
+
+	// Ended reports whether a process of another node has ended its last link to this one; nil if that is not known.
+	Ended func(Process) bool
 
 	keeper    *Keeper
 	stopping  atomic.Bool
-	changes   atomic.Uint64 // number of changes that were announced
 	wake      chan struct{}
 	release   chan struct{} // closed to release the shards
 	released  chan struct{} // closed when the shards are released
 	stop      chan struct{}
-	announced uint64              // shards whose issuer this node was at the last announcement; for keepOnce
+	announced uint64              // Issuing.Changes at the last announcement; for keepOnce
 	async     func(action func()) // runs an action that may block
 
 	mu           sync.Mutex
+	issuing      carrier.Issuing           // what this node says of itself, see updateIssuing
+	asked        map[Process]time.Duration // time of the last request for the parts of a node
+	members      recentMax                 // number of nodes
 	entry        Entry
 	issuer       Issuer
 	version      uint64 // of the configuration whose accounts are applied
@@ -114,6 +122,7 @@
 	t.prepare()
 	go t.run()
 	go t.keep()
+	go t.borrow()
 	return func() { close(t.stop) }
 }
 
@@ -146,7 +155,8 @@
 		return 0
 	}
 	t.entry.Share = Share{Bounds: t.Bounds, Rand: rand.Float64, Nodes: t.Nodes}
-	t.entry.Share.Start(t.Clock())
+	t.entry.Start(t.Clock())
+	t.asked = make(map[Process]time.Duration)
 }
 
 // Release releases the shards of this node, and takes no further ones. It returns when that is done, but
@@ -166,12 +176,30 @@
 
 // Doubt suspends the issuing of credit by this node until its lease and its records have been read again.
 // It is to be called when the store may have lost acknowledged writes.
-func (t *Throttler) Doubt() { t.keeper.Doubt() }
+func (t *Throttler) Doubt() {
+	t.keeper.Doubt()
+	t.Issuing()
+}
 
 // Issuing returns what this node announces to the others.
 func (t *Throttler) Issuing() carrier.Issuing {
-	changes := t.changes.Load() // before the shards, which must not be older than their number
-	return carrier.Issuing{Shards: t.keeper.Held(), NoMore: t.stopping.Load(), Changes: changes}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateIssuing(t.Clock())
+	return t.issuing
+}
+
+// updateIssuing notes a change of the shards that this node holds, and returns all borrowed parts at each change. Their
+// lenders see by the number of changes that they may use their parts again, so that number must not stay
+// the same.
+func (t *Throttler) updateIssuing(now time.Duration) {
+	held, stopping := t.keeper.Held(), t.stopping.Load()
+	if held == t.issuing.Shards && stopping == t.issuing.NoMore {
+		return
+	}
+	t.issuing = carrier.Issuing{Shards: held, NoMore: stopping, Changes: t.issuing.Changes + 1}
+	t.issuer.ReturnAll(now)
+	clear(t.asked)
 }
 
 // Active reports whether a configuration has caps.
@@ -378,6 +406,7 @@
 
 // grant serves a request for credit. It returns nil if that only returns credit.
 func (t *Throttler) grant(request *carrier.CreditRequest) *carrier.CreditGrant {
+	t.updateIssuing(t.Clock())
 	table := t.Table()
 	if table != nil {
 		t.applyTable(table, t.Clock())
@@ -427,19 +456,21 @@
 		return
 	}
 	t.refreshed = now
-	own := t.keeper.Held()
+	t.updateIssuing(now)
+	own := t.issuing.Shards
 	remotes := make(map[Process]Remote, len(t.remotes))
 	for _, r := range t.Remotes() {
 		remotes[id(&r.Peer)] = r
 	}
+	claims := func(r Remote, bit uint64) bool { return !r.Suspect && r.Issuing.Shards&bit != 0 }
 	for shard := range Shards {
 		bit := uint64(1) << shard
 		current := t.entry.Issuer(shard)
-		if remotes[current].Issuing.Shards&bit == 0 {
+		if !claims(remotes[current], bit) {
 			current = Process{}
 		}
 		for name, r := range remotes {
-			if r.Issuing.Shards&bit != 0 && (current == (Process{}) || t.remotes[name].Issuing.Shards&bit == 0) {
+			if claims(r, bit) && (current == (Process{}) || !claims(t.remotes[name], bit)) {
 				current = name
 			}
 		}
@@ -452,9 +483,7 @@
 		}
 	}
 	t.remotes = remotes
-	if t.Known != nil {
-		t.issuer.SetReach(min(float64(len(remotes)+1)/float64(max(t.Known(), 1)), 1), now)
-	}
+	t.refreshLoans(now)
 }
 
 func accountOf(table *matcher.Table, name string) *matcher.Account {
--- a/internal/proxy/throttler/throttler_test.go
+++ b/internal/proxy/throttler/throttler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -119,16 +120,36 @@
 	}
 }
 
-// TestIssuingDuringChange guards against a state that holds the shards before a change and the number of that change.
-// A receiver would prefer it to the state with the shards after the change if it arrived later.
+// TestIssuingDuringChange guards against two states with the same number of changes and different shards. A receiver
+// could not tell which of them is later.
 func TestIssuingDuringChange(t *testing.T) {
-	throttler := &Throttler{}
-	throttler.keeper = &Keeper{Clock: func() time.Duration {
-		throttler.changes.Add(1) // keepOnce counts a change while the shards are read
-		return time.Hour
-	}}
-	throttler.keeper.held[0] = true
-	assert.Equal(t, throttler.Issuing().Changes, uint64(0))
+	throttler := &Throttler{Clock: func() time.Duration { return time.Hour }}
+	throttler.keeper = &Keeper{Clock: throttler.Clock, validUntil: 2 * time.Hour}
+	states := make(chan carrier.Issuing, 1<<16)
+	var readers, changes sync.WaitGroup
+	for range 4 {
+		readers.Go(func() {
+			for range 4000 {
+				states <- throttler.Issuing()
+			}
+		})
+	}
+	changes.Go(func() {
+		for i := range 4000 {
+			throttler.keeper.mu.Lock()
+			throttler.keeper.held[i%Shards] = !throttler.keeper.held[i%Shards]
+			throttler.keeper.mu.Unlock()
+		}
+	})
+	readers.Wait()
+	changes.Wait()
+	close(states)
+	shards := make(map[uint64]uint64)
+	for state := range states {
+		known, ok := shards[state.Changes]
+		assert.Assert(t, !ok || known == state.Shards, "%b and %b after %d changes", known, state.Shards, state.Changes)
+		shards[state.Changes] = state.Shards
+	}
 }
 
 // TestBucket guards against a lump within the burst that is refused, against an account above its cap that gets
@@ -665,7 +686,10 @@
 	issuer := &Issuer{Bounds: replayBounds}
 	issuer.Take(shard, time.Hour)
 	issuer.Grant(account, 1<<10, 0, time.Hour) // empties the bucket
-	issuer.SetReach(float64(nodes-cut)/nodes, time.Hour)
+	issuer.SetNodes(nodes, time.Hour)
+	for lender := range nodes - cut {
+		issuer.Borrow(Process{Node: fmt.Sprint(lender)}, allShards, time.Hour+2*lasts, time.Hour)
+	}
 	entries := make([]*Entry, cut)
 	for i := range entries {
 		entries[i] = &Entry{Rand: rand.Float64, Cap: func(string) float64 { return account.Rate }}
