Check the heads of targets' responses by the grammar of HTTP/1.1

Callers saw: a response in whose head the name of a field held a blank or a control byte was passed on as an answer, with that line or, where a folded line hid the length, with a body that was not the target's.

Fix: proxy/headchecker decides what a status line, a field, the length of a body and a chunk extension may be. Each head, interim head and trailer is checked before anything else reads it; trailers are read here and dropped.

--- a/internal/proxy/bodyreader/bodyreader.go
+++ b/internal/proxy/bodyreader/bodyreader.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"clementinerock/internal/proxy/headchecker"
 	"clementinerock/internal/proxy/reserver"
 )
 
@@ -248,7 +249,14 @@
 	if !ok {
 		return 0, 0, errChunk
 	}
-	digits, extensions, _ := bytes.Cut(line, []byte(";"))
+	end := bytes.IndexByte(line, ';')
+	if end < 0 {
+		end = len(line)
+	}
+	digits, extensions := line[:end], line[end:]
+	if headchecker.CheckExtensions(string(extensions)) != nil {
+		return 0, 0, errChunk
+	}
 	trimmed := bytes.TrimRight(digits, " \t")
 	if len(trimmed) > maxSizeDigits {
 		return 0, 0, errChunk
--- a/internal/proxy/deliverer/conn.go
+++ b/internal/proxy/deliverer/conn.go
@@ -17,6 +17,7 @@
 	"clementinerock/internal/proxy/bodyreader"
 	"clementinerock/internal/proxy/carrier"
 	"clementinerock/internal/proxy/dialer"
+	"clementinerock/internal/proxy/headchecker"
 	"clementinerock/platform"
 )
 
@@ -64,6 +65,9 @@
 	errStray  = merry.Sentinel("no response with the ID of the request")
 	errClosed = merry.Sentinel("connection closed by target")
 
+	errHeadTooLarge = merry.Sentinel("head of the response exceeds the buffer")
+	errTrailer      = merry.Sentinel("trailer of the response exceeds the buffer")
+
 	errStatus = merry.Sentinel("status of the response is not 200 to 599")
 
 	errBareLineFeed = merry.Sentinel("head of the response ends with a bare line feed")
@@ -248,7 +252,7 @@
 		if r.body, err = body.Chunked(); err != nil {
 			return err
 		}
-		return r.Header.ReadTrailer(c.reader)
+		return c.skipTrailer()
 	case untilCloseLength:
 		r.body, err = body.UntilEnd()
 	default:
@@ -257,15 +261,37 @@
 	return err
 }
 
+// skipTrailer reads and checks the fields behind a chunked body. They are dropped, as RFC 9110 allows.
+func (c *conn) skipTrailer() error {
+	for size := 0; ; {
+		line, err := c.reader.ReadSlice('\n')
+		size += len(line)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull), size > readBufferSize:
+			return errTrailer
+		case errors.Is(err, io.EOF):
+			return io.ErrUnexpectedEOF
+		case err != nil:
+			return err
+		}
+		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+		if len(line) == 0 {
+			return nil
+		}
+		if _, _, err := headchecker.CheckField(line); err != nil {
+			return err
+		}
+	}
+}
+
 // awaitHead waits for the head of a response and returns its status. It returns an error if a bare line feed
-// ends the head: fasthttp would wait for another end until the deadline. A head that exceeds the buffer is left
-// to fasthttp, which returns an error.
+// ends the head: fasthttp would wait for another end until the deadline.
 func (c *conn) awaitHead() (status int, err error) {
 	for read := 0; ; {
 		_, err := c.reader.Peek(read + 1)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
-			return 0, nil
+			return 0, errHeadTooLarge
 		case errors.Is(err, io.EOF) && read > 0:
 			return 0, io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
@@ -282,25 +308,12 @@
 			return 0, errBareLineFeed
 		}
 		if end >= 0 {
-			return parseStatus(head), nil
+			return headchecker.Check(head[:end+len("\n\r\n")])
 		}
 		read = len(head)
 	}
 }
 
-// parseStatus returns the status in a head, or 0 if it has none. fasthttp reports status 000 as 200, as if it
-// had never been set.
-func parseStatus(head []byte) int {
-	line, _, _ := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	status, err := strconv.ParseUint(string(bytes.TrimRight(text, "\r")), 10, 16)
-	if err != nil {
-		return 0
-	}
-	return int(status)
-}
-
 // reusable reports whether the connection can carry another request after a response, and sets the
 // time for which it may be idle.
 func (c *conn) reusable(response *response, bodyWritten <-chan error) bool {
--- a/internal/proxy/runner/runner_test.go
+++ b/internal/proxy/runner/runner_test.go
@@ -40,6 +40,9 @@
 	failing        atomic.Bool         // whether the target answers half of its requests with status 500
 	onRequest      func(*http.Request) // called for each request that the target receives; may be nil
 	log            *zap.Logger         // log of the node; nil for none
+
+	// answer answers a request in the place of the target and reports whether it did; may be nil.
+	answer func(http.ResponseWriter, *http.Request) bool
 }
 
 // mesh is a small deployment with a stand-in for the store, on loopback.
@@ -164,6 +167,9 @@
 		if h.onRequest != nil {
 			h.onRequest(r)
 		}
+		if h.answer != nil && h.answer(w, r) {
+			return
+		}
 		body, _ := io.ReadAll(r.Body)
 		time.Sleep(time.Duration(h.workMillis.Load()) * time.Millisecond)
 		id := r.Header.Get(platform.HeaderRequestID)
