Fail a response that ends with its connection if the request was not written

Callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection. The client got that part as a complete answer.

Cause: the reset is reported once, and the write of the request, which runs beside the read, met it. The read then found the end of the connection, and the result of the write did not count.

Fix: such a body is whole only if the write has succeeded, or still runs 50 ms after the end without having met a reset, since the target may have ended the connection for writing only.

--- a/internal/proxy/deliverer/conn.go
+++ b/internal/proxy/deliverer/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -46,6 +47,10 @@
 	// connection is kept.
 	keepAliveShare = 0.4
 
+	// resetTime is the time for which a reset is awaited that may have ended a response. It arrives at once if the
+	// target has closed the connection for reading as well.
+	resetTime = 50 * time.Millisecond
+
 	// maxResponsesRead is the maximum number of responses that are read for one request, including
 	// late ones to other requests.
 	maxResponsesRead = 3
@@ -168,6 +173,27 @@
 	return done, nil
 }
 
+// checkEnd returns an error if the end of a response that ends with its connection may be that of a reset. A reset
+// that the write of the request has met looks like a proper end to the read. bodyWritten receives the result of that
+// write; if the target has ended the connection for writing only, it may still go on.
+func (c *conn) checkEnd(bodyWritten <-chan error) error {
+	timer := time.NewTimer(resetTime)
+	defer timer.Stop()
+	var err error
+	select {
+	case err = <-bodyWritten:
+	case <-timer.C:
+		if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+			return err
+		}
+		err = <-bodyWritten
+	}
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return merry.Prepend(err, "write of the request")
+}
+
 // bodyless reports whether requests with a method usually have no body, so that an empty one needs
 // no Content-Length header.
 func bodyless(method []byte) bool {
@@ -189,7 +215,8 @@
 type response struct {
 	*fasthttp.Response
 
-	body bodyreader.Body
+	body               bodyreader.Body
+	endsWithConnection bool // the end of the connection is the only end of the body
 }
 
 // read reads the response to a call. It skips responses that do not have the ID of the call: a faulty
@@ -211,7 +238,7 @@
 			unidentifiedWait = 0
 		}
 		r.Reset()
-		r.body = bodyreader.Body{}
+		r.body, r.endsWithConnection = bodyreader.Body{}, false
 	}
 	return errStray
 }
@@ -255,6 +282,7 @@
 		return c.skipTrailer()
 	case untilCloseLength:
 		r.body, err = body.UntilEnd()
+		r.endsWithConnection = true
 	default:
 		r.body, err = body.Exact(length)
 	}
--- a/internal/proxy/deliverer/exchange.go
+++ b/internal/proxy/deliverer/exchange.go
@@ -47,11 +47,15 @@
 		Memory: d.Reserver,
 		Owner:  reserver.Owner{Class: reserver.Answer, Deadline: deadline.Add(responseGrace)},
 	}, d.unidentifiedWait())
+	if err == nil && response.endsWithConnection {
+		err = c.checkEnd(bodyWritten)
+	}
 	d.mu.Lock()
 	v.conn = nil
 	d.mu.Unlock()
 	if err != nil {
 		_ = c.Close() // further data could not be assigned to a request
+		d.Reserver.Discard(response.body.Size())
 		return readFailure(err, time.Now(), deadline)
 	}
 	if c.reusable(response, bodyWritten) {
--- a/internal/proxy/runner/broken_test.go
+++ b/internal/proxy/runner/broken_test.go
@@ -22,6 +22,7 @@
 	"blank":   {"X Y: z\r\nContent-Length: 4\r\n\r\npart", false},
 	"control": {"X\x01Y: z\r\nContent-Length: 4\r\n\r\npart", false},
 	"length":  {"Content-Length : 4\r\n\r\npart", false},
+	"reset":   {"\r\npart", true},
 }
 
 // answerBroken answers a request for a path below /k/ that names a broken answer.
