Test more forms of responses without end

Other operators reported a process that kept all bytes of a faulty upstream until it ran out of memory. Names, values, empty lines, interim fields, chunk sizes, extensions, tiny chunks, trailers and foreign answers without end are added to TestEndlessBytes and TestMemoryUnderEndlessBytes. So no fault is shown, and the tests are kept since they are cheap.

--- a/internal/proxy/deliverer/endless_test.go
+++ b/internal/proxy/deliverer/endless_test.go
@@ -44,14 +44,27 @@
 func endlessTargets() map[string]*endlessTarget {
 	const ok = "HTTP/1.1 200 OK\r\nClementinerock-Request-Id: r\r\n"
 	return map[string]*endlessTarget{
-		"not HTTP":          {text: "garbage "},
-		"line without end":  {beginning: "HTTP/1.1 200 ", text: "x"},
-		"head":              {beginning: "HTTP/1.1 200 OK\r\n", text: "X-A: b\r\n"},
-		"body until close":  {beginning: ok + "\r\n", text: "body"},
-		"chunked body":      {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n", text: "4\r\nbody\r\n"},
-		"announced size":    {beginning: ok + "Content-Length: 99999999999\r\n\r\n", text: "body"},
-		"interim responses": {text: "HTTP/1.1 100 Continue\r\n\r\n"},
-		afterTheWholeBody:   {beginning: ok + "Content-Length: 3\r\n\r\nyes", text: "more"},
+		"not HTTP":                        {text: "garbage "},
+		"line without end":                {beginning: "HTTP/1.1 200 ", text: "x"},
+		"head":                            {beginning: "HTTP/1.1 200 OK\r\n", text: "X-A: b\r\n"},
+		"body until close":                {beginning: ok + "\r\n", text: "body"},
+		"chunked body":                    {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n", text: "4\r\nbody\r\n"},
+		"announced size":                  {beginning: ok + "Content-Length: 99999999999\r\n\r\n", text: "body"},
+		"interim responses":               {text: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"name":                            {beginning: "HTTP/1.1 200 OK\r\n", text: "X"},
+		"value":                           {beginning: "HTTP/1.1 200 OK\r\nX-A: ", text: "b"},
+		"empty lines":                     {text: "\r\n"},
+		"interim fields":                  {beginning: "HTTP/1.1 103 Early Hints\r\n", text: "X-A: b\r\n"},
+		"size of a chunk":                 {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n", text: "0"},
+		"chunk extension":                 {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n4;", text: "a;"},
+		"chunk extensions":                {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n", text: "1;" + strings.Repeat("e", 1000) + "\r\nx\r\n"},
+		"tiny chunks":                     {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n", text: "1\r\nx\r\n"},
+		"trailer":                         {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", text: "X-A: b\r\n"},
+		"line of a trailer":               {beginning: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", text: "b"},
+		"other answers":                   {text: "HTTP/1.1 200 OK\r\nClementinerock-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody"},
+		"answers without ID":              {text: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"},
+		"garbage in an answer without ID": {beginning: "HTTP/1.1 200 OK\r\n\r\n", text: "body"},
+		afterTheWholeBody:                 {beginning: ok + "Content-Length: 3\r\n\r\nyes", text: "more"},
 	}
 }
 
