Fail answers with invalid fields on the older interface as well

The nodes' own interface reads the answers of targets with fasthttp's client, which accepts blanks in the names of fields. Such an answer reached the caller, as on the users' platform. It now has an unknown outcome with the reason bad-answer. A response that ends with its connection is not affected by a reset there, since the client writes the whole request before it reads.

TestBlankInFieldName was answered without the check and fails the call with it.

--- a/internal/call/forwarder/back.go
+++ b/internal/call/forwarder/back.go
@@ -12,6 +12,7 @@
 	"clementinerock/internal/call/limiter"
 	"clementinerock/internal/call/picker"
 	"clementinerock/internal/mesh/messenger"
+	"clementinerock/internal/proxy/headchecker"
 )
 
 // maxCallDuration is the longest time from a call's arrival at its target's node to its deadline.
@@ -207,6 +208,12 @@
 		response.Reset()
 		return classify(err)
 	}
+	for name, value := range response.Header.All() {
+		if headchecker.CheckNameValue(string(name), string(value)) != nil {
+			response.Reset()
+			return unknown(ReasonBadAnswer) // the client library accepts more than the grammar of HTTP/1.1
+		}
+	}
 	if string(response.Header.Peek(HeaderNotRun)) == "true" {
 		return refused(ReasonShed)
 	}
--- a/internal/call/forwarder/forwarder_test.go
+++ b/internal/call/forwarder/forwarder_test.go
@@ -317,6 +317,30 @@
 	assert.Equal(t, executions["1"], 1)
 }
 
+// TestBlankInFieldName guards against an answer with a blank in the name of a field, which the client library accepts.
+func TestBlankInFieldName(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Read(make([]byte, 4<<10))
+		_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nhi")
+	}()
+	address := listener.Addr().String()
+	back := forwarder.NewBack(limiter.PolicyPriority, &counts{})
+	back.SetTargets([]messenger.Target{{Service: "book", Address: address, Slots: 6, State: messenger.Serving}})
+	var request fasthttp.Request
+	var response fasthttp.Response
+	request.SetRequestURI("http://mesh/book")
+	request.Header.Set(forwarder.HeaderTarget, address)
+	assert.Equal(t, back.Serve(&request, &response), forwarder.Result{Outcome: forwarder.Unknown, Reason: forwarder.ReasonBadAnswer})
+}
+
 // TestDeepChainDoesNotAmplifyRetries calls through 23 nested levels, of which the last one sheds every
 // call. Only the level above it may retry, within its budget; retries at each level would multiply.
 func TestDeepChainDoesNotAmplifyRetries(t *testing.T) {
@@ -392,6 +416,7 @@
 	for _, reason := range []forwarder.Reason{
 		forwarder.ReasonNoRoute, forwarder.ReasonNotReady, forwarder.ReasonNoTarget, forwarder.ReasonBusy, forwarder.ReasonNoSlot, forwarder.ReasonDraining,
 		forwarder.ReasonDeadline, forwarder.ReasonUnreachable, forwarder.ReasonLost, forwarder.ReasonShed, forwarder.ReasonDuplicate, forwarder.ReasonPeer,
+		forwarder.ReasonBadAnswer,
 	} {
 		assert.Assert(t, strings.Contains(string(page), "`"+string(reason)+"`"), "%s", reason)
 	}
--- a/internal/call/forwarder/outcome.go
+++ b/internal/call/forwarder/outcome.go
@@ -57,6 +57,7 @@
 	ReasonShed        Reason = "shed-by-target"
 	ReasonDuplicate   Reason = "duplicate"
 	ReasonPeer        Reason = "bad-peer-answer"
+	ReasonBadAnswer   Reason = "bad-answer"
 )
 
 // Result is the outcome of one attempt.
--- a/internal/proxy/headchecker/headchecker.go
+++ b/internal/proxy/headchecker/headchecker.go
@@ -76,10 +76,18 @@
 func CheckField(line []byte) (name, value []byte, err error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	value = bytes.Trim(value, " \t")
-	if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
+	if !ok {
 		return nil, nil, merry.Wrap(ErrField)
 	}
-	return name, value, nil
+	return name, value, CheckNameValue(string(name), string(value))
+}
+
+// CheckNameValue returns ErrField unless a name and a value form a field.
+func CheckNameValue(name, value string) error {
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return merry.Wrap(ErrField)
+	}
+	return nil
 }
 
 // CheckExtensions returns an error unless a text consists of chunk extensions, see RFC 9112, section 7.1.1.
