Request the parts of other nodes as soon as an issuer has taken its shards

Clients of accounts whose issuer had restarted were refused for up to 0.2 s longer than before parts were lent: an issuer asked for the parts at its next tick only, and returned those that it had got after its first shard when it took the second.

It now asks right after each change. TestPartsAfterRestart fails before (1 of 12 parts after 25 ms) and passes.

--- a/internal/proxy/throttler/holding.go
+++ b/internal/proxy/throttler/holding.go
@@ -45,6 +45,7 @@
 		t.announced = issuing.Changes
 		t.Meter.Gauge("throttle_shards", float64(len(shardList(issuing.Shards))))
 		t.async(t.Announce)
+		t.borrowOnce() // the parts were returned with the change
 	}
 }
 
--- a/internal/proxy/throttler/loan_test.go
+++ b/internal/proxy/throttler/loan_test.go
@@ -227,3 +227,20 @@
 	throttler.ReceiveParts(&other, &carrier.PartReply{Time: now, Term: term, Shards: 1, Nodes: 2})
 	assert.Assert(t, !throttler.issuer.Borrows(id(&other), 1), "the reply is of an earlier term")
 }
+
+// TestPartsAfterRestart guards against an issuer that grants nothing for a while after it has taken its shards, since it
+// asks for the parts of the other nodes only later.
+func TestPartsAfterRestart(t *testing.T) {
+	r := newReplay(t, 12, 30)
+	r.run(seconds(5))
+	n := r.holder()
+	r.kill(n)
+	r.after(300*time.Millisecond, func() { r.startProcess(n) })
+	r.run(seconds(5.3))
+	for !n.throttler.keeper.Holds(ShardOf(busiest)) {
+		r.run(r.now + time.Millisecond)
+		assert.Assert(t, r.now < seconds(10), "the shard is not taken again")
+	}
+	r.run(r.now + 25*time.Millisecond) // some round trips
+	assert.Equal(t, n.throttler.issuer.shards[ShardOf(busiest)].lent, len(r.nodes))
+}
